--- /dev/null
+++ b/core/src/main/java/org/almondmount/term/TermEvent.java
@@ -0,0 +1,55 @@
+package org.almondmount.term;
+
+import java.util.Optional;
+
+/**
+ * Everything that the term keeper is told.
+ */
+public sealed interface TermEvent {
+
+	/**
+	 * The row as it was at some moment since it was asked for.
+	 *
+	 * @param row empty where there is none
+	 * @param version its version, 0 where there is none
+	 */
+	record RowRead(Optional<TermRow> row, long version) implements TermEvent {
+	}
+
+	/** The store did not answer the read. */
+	record ReadFailed() implements TermEvent {
+	}
+
+	/** A commit took effect; the row is at that version now. */
+	record Committed(long commit, long version) implements TermEvent {
+	}
+
+	/** The condition of a commit did not hold. */
+	record Conflict(long commit, Optional<TermRow> row, long version) implements TermEvent {
+	}
+
+	/** A commit took no effect and never will. */
+	record Refused(long commit) implements TermEvent {
+	}
+
+	/** A commit was not answered: it may have taken effect, or may still do so. */
+	record Unanswered(long commit) implements TermEvent {
+	}
+
+	/** The holder of that epoch spoke and says that its term is valid. */
+	record HolderHeard(long epoch) implements TermEvent {
+	}
+
+	/** Commit something together with the row, under this term. */
+	record Save(long sequence) implements TermEvent {
+	}
+
+	/** Give the term up if it is held, and never take one again. */
+	record Release() implements TermEvent {
+	}
+
+	/** Time has passed. */
+	record Tick() implements TermEvent {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/term/TermKeeper.java
@@ -0,0 +1,307 @@
+package org.almondmount.term;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Decides when this entry takes the term, keeps it and loses it, and carries what has to
+ * be kept in the same commits that renew it. Deterministic; not thread-safe.
+ * <p>
+ * Each commit holds only if the row is as the holder's last commit left it. So nothing of
+ * a former holder takes effect after its successor's first commit, however late the store
+ * carries it out. A commit that was not answered is sent again unchanged: if the first
+ * one took effect the second finds its number in the row, and otherwise only one of the
+ * two can.
+ * <p>
+ * Why no two terms overlap: a holder counts its validity from before it sent a commit.
+ * Others take the term only after they saw the row unchanged for the whole length by
+ * their own clock, which began after that commit took effect.
+ */
+public final class TermKeeper {
+
+	/** The value of {@link #validUntilMillis()} outside of a term. */
+	public static final long NEVER = Long.MIN_VALUE;
+
+	/** Pause before a refused commit is sent again, in milliseconds. */
+	private static final long REFUSED_PAUSE_MILLIS = 120;
+
+	private final TermSettings settings;
+
+	private List<TermCommand> commands = new ArrayList<>();
+
+	private Optional<TermRow> row = Optional.empty();
+
+	private long version = -1;
+
+	private long unchangedSince;
+
+	private boolean looked;
+
+	private long nextLook = Long.MIN_VALUE;
+
+	private long holderHeardAt = Long.MIN_VALUE;
+
+	private long epoch;
+
+	private long validUntil = NEVER;
+
+	private long nextRenewal;
+
+	private long lastCommit;
+
+	private Optional<TermCommand.Commit> pending = Optional.empty();
+
+	private boolean inFlight;
+
+	private long sentAt;
+
+	private long resendAt;
+
+	private long wantedSave;
+
+	private boolean releasing;
+
+	private boolean released;
+
+	public TermKeeper(TermSettings settings) {
+		this.settings = settings;
+	}
+
+	/**
+	 * Until when this entry may decide. A driver compares it with its clock right before
+	 * each effect: a process that was paused finds out so.
+	 * @return a time of the driver's clock, or {@link #NEVER}
+	 */
+	public long validUntilMillis() {
+		return (this.epoch != 0) ? this.validUntil : NEVER;
+	}
+
+	/**
+	 * The epoch of the term that this entry holds.
+	 * @return the epoch, 0 outside of a term
+	 */
+	public long epoch() {
+		return this.epoch;
+	}
+
+	/**
+	 * Takes one event.
+	 * @param now the driver's steady clock in milliseconds
+	 * @param event what happened
+	 * @return what is to be done, in order
+	 */
+	public List<TermCommand> handle(long now, TermEvent event) {
+		this.commands = new ArrayList<>();
+		if (this.epoch != 0 && now >= this.validUntil) {
+			end("it was not renewed in time");
+		}
+		take(now, event);
+		act(now);
+		return this.commands;
+	}
+
+	private void take(long now, TermEvent event) {
+		if (event instanceof TermEvent.RowRead read) {
+			this.inFlight = false;
+			observe(now, read.row(), read.version());
+		}
+		else if (event instanceof TermEvent.ReadFailed) {
+			this.inFlight = false;
+		}
+		else if (event instanceof TermEvent.Committed committed) {
+			committed(now, committed.commit(), committed.version());
+		}
+		else if (event instanceof TermEvent.Conflict conflict) {
+			conflict(now, conflict);
+		}
+		else if (event instanceof TermEvent.Refused refused) {
+			again(now, refused.commit(), REFUSED_PAUSE_MILLIS);
+		}
+		else if (event instanceof TermEvent.Unanswered unanswered) {
+			again(now, unanswered.commit(), 0);
+		}
+		else if (event instanceof TermEvent.HolderHeard heard) {
+			holderHeard(now, heard.epoch());
+		}
+		else if (event instanceof TermEvent.Save save) {
+			this.wantedSave = save.sequence();
+		}
+		else if (event instanceof TermEvent.Release) {
+			this.releasing = true;
+		}
+	}
+
+	private void holderHeard(long now, long heardEpoch) {
+		if (heardEpoch >= this.row.map(TermRow::epoch).orElse(0L)) {
+			this.holderHeardAt = now;
+		}
+	}
+
+	private void observe(long now, Optional<TermRow> read, long readVersion) {
+		this.looked = true;
+		if (readVersion != this.version) {
+			this.version = readVersion;
+			this.unchangedSince = now;
+			read.filter((other) -> !isOwn(other) && !other.released())
+				.ifPresent((other) -> this.commands.add(new TermCommand.HolderSeen(other)));
+		}
+		this.row = read;
+	}
+
+	private void committed(long now, long commit, long newVersion) {
+		if (this.pending.isEmpty() || this.pending.get().row().commit() != commit) {
+			return;
+		}
+		TermCommand.Commit done = this.pending.get();
+		this.pending = Optional.empty();
+		this.inFlight = false;
+		this.row = Optional.of(done.row());
+		this.version = newVersion;
+		this.unchangedSince = now;
+		if (done.row().released()) {
+			this.released = true;
+			this.commands.add(new TermCommand.Released());
+			return;
+		}
+		long until = this.sentAt + this.settings.validForMillis();
+		if (now >= until || this.releasing && this.epoch == 0) {
+			return;
+		}
+		this.validUntil = until;
+		this.nextRenewal = this.sentAt + this.settings.renewEveryMillis();
+		if (this.epoch == 0) {
+			this.epoch = done.row().epoch();
+			this.wantedSave = 0;
+			this.commands.add(new TermCommand.Began(this.epoch));
+		}
+		else if (done.save() != 0) {
+			this.commands.add(new TermCommand.Saved(done.save()));
+		}
+	}
+
+	private void conflict(long now, TermEvent.Conflict conflict) {
+		if (this.pending.isEmpty() || this.pending.get().row().commit() != conflict.commit()) {
+			return;
+		}
+		boolean wasOwn = conflict.row()
+			.map((found) -> isOwn(found) && found.commit() == conflict.commit())
+			.orElse(false);
+		if (wasOwn) {
+			committed(now, conflict.commit(), conflict.version());
+			return;
+		}
+		this.pending = Optional.empty();
+		this.inFlight = false;
+		if (this.epoch != 0) {
+			end("another entry took it");
+		}
+		observe(now, conflict.row(), conflict.version());
+	}
+
+	// A commit is sent again as it is, at first at once and then with the pause; a
+	// challenger's is dropped, since whoever holds the term may have changed.
+	private void again(long now, long commit, long pause) {
+		if (this.pending.isEmpty() || this.pending.get().row().commit() != commit) {
+			return;
+		}
+		this.inFlight = false;
+		this.resendAt = now + pause;
+		if (this.epoch == 0) {
+			this.pending = Optional.empty();
+			this.looked = false;
+			this.nextLook = now + pause;
+		}
+	}
+
+	private void end(String why) {
+		this.commands.add(new TermCommand.Ended(this.epoch, why));
+		this.epoch = 0;
+		this.validUntil = NEVER;
+		this.wantedSave = 0;
+		this.pending = Optional.empty();
+		this.inFlight = false;
+		this.looked = false;
+		this.holderHeardAt = Long.MIN_VALUE;
+	}
+
+	private void act(long now) {
+		if (this.released) {
+			return;
+		}
+		if (this.epoch != 0) {
+			hold(now);
+			return;
+		}
+		if (this.releasing) {
+			this.released = true;
+			this.commands.add(new TermCommand.Released());
+			return;
+		}
+		if (!this.inFlight) {
+			follow(now);
+		}
+	}
+
+	private void hold(long now) {
+		if (this.inFlight) {
+			return;
+		}
+		if (this.pending.isPresent()) {
+			if (now >= this.resendAt) {
+				send(now, this.pending.get(), false);
+			}
+			return;
+		}
+		if (this.wantedSave != 0 || now >= this.nextRenewal || this.releasing) {
+			boolean release = this.releasing && this.wantedSave == 0;
+			long save = this.wantedSave;
+			this.wantedSave = 0;
+			TermRow next = new TermRow(this.settings.self(), this.settings.address(), this.epoch, ++this.lastCommit,
+					this.settings.lengthMillis(), release);
+			send(now, new TermCommand.Commit(next, this.version, save), true);
+		}
+	}
+
+	private void follow(long now) {
+		boolean quiet = this.holderHeardAt == Long.MIN_VALUE || now - this.holderHeardAt >= this.settings.quietMillis();
+		if (this.looked && quiet && mayTake(now)) {
+			long next = this.row.map(TermRow::epoch).orElse(0L) + 1;
+			TermRow taken = new TermRow(this.settings.self(), this.settings.address(), next, ++this.lastCommit,
+					this.settings.lengthMillis(), false);
+			send(now, new TermCommand.Commit(taken, Math.max(0, this.version), 0), true);
+			return;
+		}
+		if (now >= this.nextLook && (quiet || !this.looked)) {
+			this.inFlight = true;
+			this.nextLook = now + this.settings.lookEveryMillis();
+			this.commands.add(new TermCommand.Look());
+		}
+	}
+
+	private boolean mayTake(long now) {
+		if (this.row.isEmpty()) {
+			return true;
+		}
+		TermRow current = this.row.get();
+		// The same address means the same VM: the process that wrote the row is gone,
+		// since
+		// this one listens there now.
+		return current.released() || isOwn(current) || current.address().equals(this.settings.address())
+				|| now - this.unchangedSince >= current.lengthMillis();
+	}
+
+	private void send(long now, TermCommand.Commit commit, boolean first) {
+		this.inFlight = true;
+		this.pending = Optional.of(commit);
+		if (first) {
+			this.sentAt = now;
+		}
+		this.commands.add(commit);
+	}
+
+	private boolean isOwn(TermRow found) {
+		return found.holder().equals(this.settings.self());
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/worker/WorkerCommand.java
@@ -0,0 +1,57 @@
+package org.almondmount.worker;
+
+import org.almondmount.workflow.TaskId;
+import org.almondmount.workflow.WorkerLife;
+import org.almondmount.workflow.WorkerReport;
+
+/**
+ * Everything that the keeper of a worker asks its driver to do, in order.
+ */
+public sealed interface WorkerCommand {
+
+	/**
+	 * Look at the worker and renew its lease.
+	 *
+	 * @param look the look's number
+	 * @param life the life that is meant, {@link WorkerLife#NONE} for whichever is there
+	 * @param epoch the epoch that the worker is to obey
+	 * @param acknowledged ends up to that number may be forgotten
+	 * @param leaseUntilMillis the end of the lease by the worker's clock, 0 to renew
+	 * nothing
+	 * @param waitMillis how long the worker may wait for an end before it answers
+	 */
+	record Look(long look, WorkerLife life, long epoch, long acknowledged, long leaseUntilMillis,
+			long waitMillis) implements WorkerCommand {
+	}
+
+	/** Have the worker begin a run; the lease ends at that time of the worker's clock. */
+	record Start(WorkerLife life, long epoch, TaskId task, int run, String program, String checkpoint,
+			long leaseUntilMillis) implements WorkerCommand {
+	}
+
+	/** Have the worker end a run. */
+	record Stop(WorkerLife life, long epoch, TaskId task, int run) implements WorkerCommand {
+	}
+
+	/** Tell the holder that this process lives. */
+	record SendHeartbeat(long heartbeat) implements WorkerCommand {
+	}
+
+	/** Tell the holder of the worker. */
+	record SendReport(WorkerReport report) implements WorkerCommand {
+	}
+
+	/** Tell the holder that a run was not begun and never will be. */
+	record SendNotBegun(TaskId task, int run, String why) implements WorkerCommand {
+	}
+
+	/** A decision that an administrator may want to read later. */
+	record Explain(String event, Object[] keysAndValues) implements WorkerCommand {
+
+		static Explain of(String event, Object... keysAndValues) {
+			return new Explain(event, keysAndValues);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
@@ -0,0 +1,468 @@
+package org.almondmount.worker;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.almondmount.workflow.TaskId;
+import org.almondmount.workflow.WorkerDescription;
+import org.almondmount.workflow.WorkerLife;
+import org.almondmount.workflow.WorkerReport;
+
+/**
+ * Stands between the holder of the term and one worker. Deterministic; not thread-safe.
+ * <p>
+ * It passes on orders of the highest epoch that it has heard of, renews the worker's
+ * lease only as far as the holder granted it, and tells the holder what the worker lists.
+ * It keeps nothing that lasts: after a restart it asks the worker and the holder.
+ */
+public final class WorkerKeeper {
+
+	/** A worker's clock may be 2 % slow. */
+	private static final double SLOWEST_CLOCK = 0.98;
+
+	/** Heartbeats whose sending time is remembered: more than a lease holds. */
+	private static final int REMEMBERED_HEARTBEATS = 64;
+
+	private final String target;
+
+	private final WorkerPolicy policy;
+
+	private final Map<Long, Long> heartbeats = new LinkedHashMap<>();
+
+	private final Map<String, OrderedRun> orders = new HashMap<>();
+
+	private final TreeMap<Long, WorkerReport.Ended> ends = new TreeMap<>();
+
+	private List<WorkerCommand> commands = new ArrayList<>();
+
+	private Optional<WorkerDescription> description = Optional.empty();
+
+	private WorkerLife life = WorkerLife.NONE;
+
+	private List<WorkerReport.Running> running = List.of();
+
+	private long clockMillis;
+
+	private long clockReadAt;
+
+	private long epoch;
+
+	private long obeyedEpoch;
+
+	private boolean holder;
+
+	private long lastHeartbeat;
+
+	private long nextHeartbeat = Long.MIN_VALUE;
+
+	private long leaseUntil = Long.MIN_VALUE;
+
+	private long acknowledged;
+
+	private long lastLook;
+
+	private long outstandingLook;
+
+	private long nextLook = Long.MIN_VALUE;
+
+	private Map<Long, Long> lookEpochs = new HashMap<>();
+
+	private boolean lookSoon;
+
+	private boolean reportDue;
+
+	private long nextProgress;
+
+	public WorkerKeeper(String target, WorkerPolicy policy) {
+		this.target = target;
+		this.policy = policy;
+	}
+
+	/**
+	 * Takes one event.
+	 * @param now the driver's steady clock in milliseconds
+	 * @param event what happened
+	 * @return what is to be done, in order
+	 */
+	public List<WorkerCommand> handle(long now, WorkerEvent event) {
+		this.commands = new ArrayList<>();
+		if (!fromHolder(now, event)) {
+			fromWorker(now, event);
+		}
+		act(now);
+		return this.commands;
+	}
+
+	private boolean fromHolder(long now, WorkerEvent event) {
+		if (event instanceof WorkerEvent.HolderFound found) {
+			holderFound(found.epoch());
+		}
+		else if (event instanceof WorkerEvent.HolderGone) {
+			this.holder = false;
+		}
+		else if (event instanceof WorkerEvent.Granted granted) {
+			granted(granted);
+		}
+		else if (event instanceof WorkerEvent.StartOrdered start) {
+			startOrdered(now, start);
+		}
+		else if (event instanceof WorkerEvent.StopOrdered stop) {
+			stopOrdered(now, stop);
+		}
+		else if (event instanceof WorkerEvent.EndsKept kept) {
+			endsKept(kept);
+		}
+		else {
+			return false;
+		}
+		return true;
+	}
+
+	private void fromWorker(long now, WorkerEvent event) {
+		if (event instanceof WorkerEvent.Described described) {
+			described(described.worker());
+		}
+		else if (event instanceof WorkerEvent.Looked looked) {
+			looked(now, looked);
+		}
+		else if (event instanceof WorkerEvent.LookFailed failed) {
+			lookEnded(failed.look());
+			this.nextLook = now + this.policy.lookPauseMillis();
+		}
+		else if (event instanceof WorkerEvent.StartEnded ended) {
+			startEnded(now, ended);
+		}
+		else if (event instanceof WorkerEvent.StopEnded ended) {
+			stopEnded(now, ended);
+		}
+	}
+
+	private void holderFound(long found) {
+		if (found < this.epoch) {
+			return;
+		}
+		if (found > this.epoch) {
+			this.epoch = found;
+			this.orders.clear();
+			this.lookSoon = true;
+			this.commands.add(WorkerCommand.Explain.of("epoch-raised", "epoch", found));
+		}
+		this.holder = true;
+		this.reportDue = true;
+		this.nextHeartbeat = Long.MIN_VALUE;
+	}
+
+	private void granted(WorkerEvent.Granted granted) {
+		Long sent = this.heartbeats.get(granted.heartbeat());
+		if (granted.epoch() < this.epoch || sent == null) {
+			return;
+		}
+		this.leaseUntil = Math.max(this.leaseUntil, sent + granted.leaseMillis());
+	}
+
+	// An order is good for as long as the lease that the holder granted with the last
+	// heartbeat it had heard. After that the holder takes for granted that nothing of the
+	// order runs, and an order that a cut connection delivers late must not begin a run.
+	private void startOrdered(long now, WorkerEvent.StartOrdered order) {
+		if (order.epoch() < this.epoch) {
+			return;
+		}
+		String key = key(order.task(), order.run());
+		if (this.orders.containsKey(key) || isListed(order.task(), order.run())) {
+			return;
+		}
+		Optional<String> refusal = refusal(now, order);
+		if (refusal.isPresent()) {
+			this.commands.add(new WorkerCommand.SendNotBegun(order.task(), order.run(), refusal.get()));
+			return;
+		}
+		OrderedRun run = new OrderedRun(order);
+		this.orders.put(key, run);
+		sendStart(now, run);
+	}
+
+	private Optional<String> refusal(long now, WorkerEvent.StartOrdered order) {
+		Long sent = this.heartbeats.get(order.heartbeat());
+		if (!order.life().equals(this.life)) {
+			return Optional.of("another life of the worker");
+		}
+		if (sent == null || leaseUntilByWorker(now) == 0) {
+			return Optional.of("no lease");
+		}
+		if (this.description.isEmpty() || draining()) {
+			return Optional.of("draining");
+		}
+		return Optional.empty();
+	}
+
+	private void sendStart(long now, OrderedRun run) {
+		WorkerEvent.StartOrdered order = run.order();
+		this.commands.add(new WorkerCommand.Start(this.life, this.epoch, order.task(), order.run(), order.program(),
+				order.checkpoint(), leaseUntilByWorker(now)));
+	}
+
+	private void stopOrdered(long now, WorkerEvent.StopOrdered order) {
+		if (order.epoch() < this.epoch || !order.life().equals(this.life)) {
+			return;
+		}
+		String key = key(order.task(), order.run());
+		OrderedRun run = this.orders.computeIfAbsent(key, (name) -> OrderedRun.unknown(order));
+		run.stopWanted(true);
+		if (!run.stopOutstanding()) {
+			sendStop(run);
+		}
+	}
+
+	private void sendStop(OrderedRun run) {
+		run.stopOutstanding(true);
+		this.commands.add(new WorkerCommand.Stop(this.life, this.epoch, run.order().task(), run.order().run()));
+	}
+
+	private void endsKept(WorkerEvent.EndsKept kept) {
+		if (kept.epoch() < this.epoch || !kept.life().equals(this.life) || kept.upTo() <= this.acknowledged) {
+			return;
+		}
+		this.acknowledged = kept.upTo();
+		this.ends.headMap(kept.upTo(), true).clear();
+		this.lookSoon = true;
+	}
+
+	private void described(WorkerDescription said) {
+		if (said.life().bornMillis() < this.life.bornMillis()) {
+			return;
+		}
+		begin(said.life());
+		// Announcements overtake each other; a worker that leaves does not come back in
+		// this
+		// life, so an older word that it is ready changes nothing.
+		if (draining() && !said.draining()) {
+			return;
+		}
+		boolean alike = this.description
+			.map((known) -> known.draining() == said.draining() && known.capacity().equals(said.capacity()))
+			.orElse(false);
+		this.description = Optional.of(said);
+		this.reportDue |= !alike;
+	}
+
+	private boolean draining() {
+		return this.description.map(WorkerDescription::draining).orElse(false);
+	}
+
+	// A new life knows nothing of the former one's runs, ends and orders.
+	private void begin(WorkerLife next) {
+		if (next.equals(this.life)) {
+			return;
+		}
+		boolean sameBorn = next.bornMillis() == this.life.bornMillis();
+		this.life = next;
+		if (sameBorn) {
+			return;
+		}
+		this.commands.add(WorkerCommand.Explain.of("worker-life", "life", next));
+		this.description = Optional.empty();
+		this.running = List.of();
+		this.ends.clear();
+		this.orders.clear();
+		this.acknowledged = 0;
+		this.obeyedEpoch = 0;
+		this.lookSoon = true;
+	}
+
+	private void looked(long now, WorkerEvent.Looked looked) {
+		Long lookEpoch = this.lookEpochs.get(looked.look());
+		lookEnded(looked.look());
+		if (looked.life().bornMillis() < this.life.bornMillis()) {
+			return;
+		}
+		begin(looked.life());
+		this.clockMillis = looked.clockMillis();
+		this.clockReadAt = now;
+		if (lookEpoch != null && lookEpoch > this.obeyedEpoch) {
+			this.obeyedEpoch = lookEpoch;
+			this.reportDue = true;
+		}
+		takeLists(looked);
+		settle(looked);
+	}
+
+	private void takeLists(WorkerEvent.Looked looked) {
+		for (WorkerReport.Ended end : looked.ended()) {
+			if (end.number() > this.acknowledged && this.ends.put(end.number(), end) == null) {
+				this.reportDue = true;
+				this.orders.remove(key(end.task(), end.run()));
+			}
+		}
+		List<WorkerReport.Running> now = new ArrayList<>();
+		for (WorkerReport.Running run : looked.running()) {
+			if (!hasEnded(run.task(), run.run())) {
+				now.add(run);
+			}
+		}
+		if (!sameRuns(now, this.running)) {
+			this.reportDue = true;
+		}
+		this.running = List.copyOf(now);
+	}
+
+	// A run that was told to stop, and is in neither list of a look that was sent after
+	// the
+	// stop was answered, was never begun and will be refused from now on.
+	private void settle(WorkerEvent.Looked looked) {
+		for (OrderedRun run : List.copyOf(this.orders.values())) {
+			TaskId task = run.order().task();
+			int number = run.order().run();
+			boolean settled = run.stopAnsweredBefore() != 0 && looked.look() >= run.stopAnsweredBefore();
+			if (settled && !isListed(task, number)) {
+				this.orders.remove(key(task, number));
+				this.commands.add(new WorkerCommand.SendNotBegun(task, number, run.why()));
+			}
+		}
+	}
+
+	private void startEnded(long now, WorkerEvent.StartEnded ended) {
+		OrderedRun run = this.orders.get(key(ended.task(), ended.run()));
+		if (run == null || run.stopWanted()) {
+			return;
+		}
+		if (ended.ending() == WorkerEvent.CallEnding.DONE) {
+			run.begun();
+			this.lookSoon = true;
+			return;
+		}
+		if (ended.ending() == WorkerEvent.CallEnding.UNANSWERED && now < this.leaseUntil && run.mayTryAgain()) {
+			sendStart(now, run);
+			return;
+		}
+		run.why(ended.why());
+		run.stopWanted(true);
+		sendStop(run);
+	}
+
+	private void stopEnded(long now, WorkerEvent.StopEnded ended) {
+		OrderedRun run = this.orders.get(key(ended.task(), ended.run()));
+		if (run == null) {
+			return;
+		}
+		run.stopOutstanding(false);
+		if (ended.ending() == WorkerEvent.CallEnding.DONE) {
+			run.stopAnsweredBefore(this.lastLook + 1);
+			this.lookSoon = true;
+			return;
+		}
+		run.retryStopAt(now + this.policy.lookPauseMillis());
+	}
+
+	private void act(long now) {
+		retryStops(now);
+		look(now);
+		if (!this.holder) {
+			return;
+		}
+		if (now >= this.nextHeartbeat) {
+			this.nextHeartbeat = now + this.policy.heartbeatMillis();
+			this.heartbeats.put(++this.lastHeartbeat, now);
+			this.heartbeats.keySet().removeIf((number) -> number <= this.lastHeartbeat - REMEMBERED_HEARTBEATS);
+			this.commands.add(new WorkerCommand.SendHeartbeat(this.lastHeartbeat));
+		}
+		boolean progress = !this.running.isEmpty() && now >= this.nextProgress;
+		if ((this.reportDue || progress) && this.description.isPresent()) {
+			this.reportDue = false;
+			this.nextProgress = now + this.policy.progressMillis();
+			this.commands.add(new WorkerCommand.SendReport(new WorkerReport(this.target, this.description.get(),
+					this.obeyedEpoch, this.running, List.copyOf(this.ends.values()))));
+		}
+	}
+
+	private void retryStops(long now) {
+		for (OrderedRun run : this.orders.values()) {
+			if (run.stopWanted() && !run.stopOutstanding() && run.stopAnsweredBefore() == 0
+					&& now >= run.retryStopAt()) {
+				sendStop(run);
+			}
+		}
+	}
+
+	// One look waits at a busy worker for an end; another one goes beside it when
+	// something
+	// has to be known or acknowledged at once. A worker that runs nothing answers at
+	// once,
+	// so it is looked at now and then.
+	private void look(long now) {
+		boolean regular = this.outstandingLook == 0 && now >= this.nextLook;
+		if (!regular && !this.lookSoon) {
+			return;
+		}
+		boolean busy = !this.running.isEmpty();
+		long wait = (regular && busy && !this.lookSoon) ? this.policy.lookWaitMillis() : 0;
+		this.lookSoon = false;
+		long number = ++this.lastLook;
+		if (wait > 0) {
+			this.outstandingLook = number;
+			this.nextLook = now + this.policy.lookPauseMillis();
+		}
+		else if (regular) {
+			this.nextLook = now + (busy ? 0 : this.policy.lookWaitMillis());
+		}
+		this.lookEpochs.put(number, this.epoch);
+		this.commands.add(new WorkerCommand.Look(number, this.life, this.epoch, this.acknowledged,
+				(this.life.bornMillis() != 0) ? leaseUntilByWorker(now) : 0, wait));
+	}
+
+	private void lookEnded(long look) {
+		this.lookEpochs.remove(look);
+		if (look == this.outstandingLook) {
+			this.outstandingLook = 0;
+		}
+	}
+
+	private long leaseUntilByWorker(long now) {
+		long left = this.leaseUntil - now;
+		if (left <= 0 || this.clockReadAt == 0) {
+			return 0;
+		}
+		long clock = this.clockMillis + (long) ((now - this.clockReadAt) * SLOWEST_CLOCK);
+		return clock + left;
+	}
+
+	private boolean isListed(TaskId task, int run) {
+		for (WorkerReport.Running one : this.running) {
+			if (one.task().equals(task) && one.run() == run) {
+				return true;
+			}
+		}
+		return hasEnded(task, run);
+	}
+
+	private boolean hasEnded(TaskId task, int run) {
+		for (WorkerReport.Ended end : this.ends.values()) {
+			if (end.task().equals(task) && end.run() == run) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private static boolean sameRuns(List<WorkerReport.Running> some, List<WorkerReport.Running> others) {
+		if (some.size() != others.size()) {
+			return false;
+		}
+		for (int i = 0; i < some.size(); i++) {
+			boolean same = some.get(i).task().equals(others.get(i).task()) && some.get(i).run() == others.get(i).run();
+			if (!same) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private static String key(TaskId task, int run) {
+		return task + "/" + run;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/worker/WorkerPolicy.java
@@ -0,0 +1,19 @@
+package org.almondmount.worker;
+
+/**
+ * The times by which the keeper of a worker acts, in milliseconds. Immutable.
+ *
+ * @param heartbeatMillis between two heartbeats to the holder
+ * @param lookWaitMillis how long a look may wait for an end
+ * @param lookPauseMillis pause after a look that was not answered
+ * @param progressMillis between two reports that tell of nothing but progress
+ */
+public record WorkerPolicy(long heartbeatMillis, long lookWaitMillis, long lookPauseMillis, long progressMillis) {
+
+	/**
+	 * A heartbeat a second is a sixth of the shortest lease; progress is only needed when
+	 * work has to be resumed elsewhere.
+	 */
+	public static final WorkerPolicy DEFAULT = new WorkerPolicy(1_000, 1_000, 200, 2_000);
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/JobPhase.java
@@ -0,0 +1,43 @@
+package org.almondmount.workflow;
+
+import java.util.Locale;
+
+/**
+ * Where a job stands, as its caller is told.
+ */
+public enum JobPhase {
+
+	/** No task has started. */
+	QUEUED(false),
+
+	/** A task has started. */
+	RUNNING(false),
+
+	/** Every task is done. */
+	COMPLETED(true),
+
+	/** A task or a gang failed as often as its queue allows. */
+	FAILED(true),
+
+	/** It was cancelled. */
+	CANCELLED(true);
+
+	private final boolean over;
+
+	JobPhase(boolean over) {
+		this.over = over;
+	}
+
+	public boolean over() {
+		return this.over;
+	}
+
+	/**
+	 * The phase as callers read it.
+	 * @return the word
+	 */
+	public String word() {
+		return name().toLowerCase(Locale.ROOT);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/JobQueue.java
@@ -0,0 +1,20 @@
+package org.almondmount.workflow;
+
+/**
+ * A queue that takes jobs, as operators declare it. Immutable.
+ *
+ * @param name its name
+ * @param host the host name under which callers reach it
+ * @param pathPrefix the path under which callers reach it
+ * @param pool the workers that run its tasks
+ * @param priority 0 comes first and may preempt others
+ * @param maxAttempts failed runs of a task, or of a gang, after which the job fails
+ * @param stretch how many times its longest chain of work a job may take
+ * @param latencyObjectiveMillis what is added to that objective
+ * @param anonymous whether callers need no key
+ * @param advised whether only the advice service knows which workers may run a step
+ */
+public record JobQueue(String name, String host, String pathPrefix, String pool, int priority, int maxAttempts,
+		double stretch, long latencyObjectiveMillis, boolean anonymous, boolean advised) {
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/JobRecord.java
@@ -0,0 +1,61 @@
+package org.almondmount.workflow;
+
+import java.util.List;
+
+/**
+ * The progress of a job as it is kept. Immutable. What is not named is as it was at the
+ * beginning: no step done, no run made.
+ *
+ * @param job the job
+ * @param phase where it stands
+ * @param doneSteps steps whose tasks are all done
+ * @param tasks tasks of other steps that have a history, and any task with an open run
+ */
+public record JobRecord(String job, JobPhase phase, List<StepKey> doneSteps, List<TaskRecord> tasks) {
+
+	public JobRecord {
+		doneSteps = List.copyOf(doneSteps);
+		tasks = List.copyOf(tasks);
+	}
+
+	/**
+	 * A step of one occurrence.
+	 *
+	 * @param occurrence the occurrence
+	 * @param step the step
+	 */
+	public record StepKey(int occurrence, int step) {
+	}
+
+	/**
+	 * What is kept of a task.
+	 *
+	 * @param step the step of the occurrence
+	 * @param index the task's number
+	 * @param lastRun the number of its last run, 0 for none
+	 * @param failures how often it failed
+	 * @param done whether it is done
+	 * @param checkpoint its last checkpoint, or empty
+	 * @param openRuns its runs that may still be at work
+	 */
+	public record TaskRecord(StepKey step, int index, int lastRun, int failures, boolean done, String checkpoint,
+			List<OpenRun> openRuns) {
+
+		public TaskRecord {
+			openRuns = List.copyOf(openRuns);
+		}
+
+	}
+
+	/**
+	 * A run that may be at work.
+	 *
+	 * @param number its number
+	 * @param target the process beside its worker
+	 * @param life the life of the worker that it was ordered in
+	 * @param epoch the epoch under which it was ordered
+	 */
+	public record OpenRun(int number, String target, WorkerLife life, long epoch) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/ResourceAmount.java
@@ -0,0 +1,71 @@
+package org.almondmount.workflow;
+
+/**
+ * An amount of what a worker has, as fine as tasks ask for it.
+ *
+ * @param cpuMillis thousandths of a processor core
+ * @param memoryMb memory in MiB
+ * @param accelerators whole accelerators
+ */
+public record ResourceAmount(long cpuMillis, long memoryMb, long accelerators) {
+
+	/** Nothing of anything. */
+	public static final ResourceAmount NONE = new ResourceAmount(0, 0, 0);
+
+	/** How many cores one accelerator counts for when amounts are compared. */
+	private static final long CORES_AN_ACCELERATOR = 8;
+
+	private static final double MILLIS = 1_000.0;
+
+	/**
+	 * Whether this amount fits into another.
+	 * @param room what is there
+	 * @return true when no dimension exceeds the room
+	 */
+	public boolean fitsIn(ResourceAmount room) {
+		return this.cpuMillis <= room.cpuMillis && this.memoryMb <= room.memoryMb
+				&& this.accelerators <= room.accelerators;
+	}
+
+	public ResourceAmount plus(ResourceAmount other) {
+		return new ResourceAmount(this.cpuMillis + other.cpuMillis, this.memoryMb + other.memoryMb,
+				this.accelerators + other.accelerators);
+	}
+
+	/**
+	 * What is left; a dimension may become negative where more is taken than is there.
+	 * @param other what is taken away
+	 * @return the rest
+	 */
+	public ResourceAmount minus(ResourceAmount other) {
+		return new ResourceAmount(this.cpuMillis - other.cpuMillis, this.memoryMb - other.memoryMb,
+				this.accelerators - other.accelerators);
+	}
+
+	public ResourceAmount times(long count) {
+		return new ResourceAmount(this.cpuMillis * count, this.memoryMb * count, this.accelerators * count);
+	}
+
+	/**
+	 * How much of a whole this amount is, over all dimensions that the whole has.
+	 * @param whole a worker's capacity
+	 * @return the sum of the shares, 0 for nothing
+	 */
+	public double shareOf(ResourceAmount whole) {
+		return share(this.cpuMillis, whole.cpuMillis) + share(this.memoryMb, whole.memoryMb)
+				+ share(this.accelerators, whole.accelerators);
+	}
+
+	/**
+	 * The amount as cores, an accelerator counting for eight of them.
+	 * @return cores
+	 */
+	public double coreEquivalents() {
+		return this.cpuMillis / MILLIS + this.accelerators * CORES_AN_ACCELERATOR;
+	}
+
+	private static double share(long part, long whole) {
+		return (whole > 0) ? (double) part / whole : 0;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/SchedulerPolicy.java
@@ -0,0 +1,40 @@
+package org.almondmount.workflow;
+
+/**
+ * The times by which the workflow scheduler decides. Immutable.
+ *
+ * @param leaseMillis for how long what runs beside a target goes on after the target was
+ * last granted its lease
+ * @param usableSilenceMillis silence of a target after which its worker gets nothing new
+ * @param orderRetryMillis after which an order of which nothing was heard is sent again
+ * @param refusalPauseMillis how long a worker that refused a run gets nothing new
+ */
+public record SchedulerPolicy(long leaseMillis, long usableSilenceMillis, long orderRetryMillis,
+		long refusalPauseMillis) {
+
+	/**
+	 * Two heartbeats of a target may be missing before it counts as silent, an order is
+	 * repeated after the time in which nearly all are answered, and a refusing worker is
+	 * looked at again in a third of a second.
+	 */
+	public static final SchedulerPolicy DEFAULT = new SchedulerPolicy(6_000, 2_500, 800, 300);
+
+	/** A worker's clock may be 2 % slow, and a lease is measured on it. */
+	private static final double SLOWEST_CLOCK = 1.02;
+
+	/** Time for an end at the worker to take effect, in milliseconds. */
+	private static final long LAPSE_MARGIN_MILLIS = 300;
+
+	public SchedulerPolicy withLeaseMillis(long millis) {
+		return new SchedulerPolicy(millis, this.usableSilenceMillis, this.orderRetryMillis, this.refusalPauseMillis);
+	}
+
+	/**
+	 * After which silence all that ran beside a target has surely ended.
+	 * @return milliseconds since it was last granted its lease
+	 */
+	public long lapsedAfterMillis() {
+		return (long) (this.leaseMillis * SLOWEST_CLOCK) + LAPSE_MARGIN_MILLIS;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/Step.java
@@ -0,0 +1,72 @@
+package org.almondmount.workflow;
+
+import java.util.List;
+
+import org.almondmount.model.InvalidValueException;
+
+/**
+ * One step of a workflow: tasks that are alike. Immutable.
+ *
+ * @param count how many tasks
+ * @param demand what each task needs
+ * @param estimateMillis a rough guess of a task's run time, 0 where there is none
+ * @param after numbers of the steps whose tasks must all be done before
+ * @param checkpoints whether its tasks save their progress
+ * @param gang whether its tasks work only all together
+ * @param placement where its tasks may and should run
+ * @param duplicatesAllowed whether two copies of one task may run at the same time
+ * @param service how a step that lasts behaves; {@link ServiceTerms#NONE} for work that
+ * ends
+ */
+public record Step(int count, ResourceAmount demand, long estimateMillis, List<Integer> after, boolean checkpoints,
+		boolean gang, Placement placement, boolean duplicatesAllowed, ServiceTerms service) {
+
+	public Step {
+		if (count < 1) {
+			throw new InvalidValueException("count", "is " + count + "; give at least 1");
+		}
+		after = List.copyOf(after);
+	}
+
+	/**
+	 * Whether the step's tasks run until the job is cancelled.
+	 * @return whether they do
+	 */
+	public boolean lasting() {
+		return this.service.lasting();
+	}
+
+	/**
+	 * Where tasks may and should run.
+	 *
+	 * @param requiredLabel a label that the worker must have, or empty
+	 * @param dataRack the rack near which tasks run fast, or empty
+	 * @param sameRack whether a gang runs fast only within one rack
+	 * @param mostPerWorker tasks of one occurrence that one worker may run, 0 for any
+	 * number
+	 */
+	public record Placement(String requiredLabel, String dataRack, boolean sameRack, int mostPerWorker) {
+
+		/** Anywhere. */
+		public static final Placement ANYWHERE = new Placement("", "", false, 0);
+
+	}
+
+	/**
+	 * The terms of a step that lasts, and of what shares a worker with such steps.
+	 *
+	 * @param lasting whether the tasks run until the job is cancelled
+	 * @param image what the tasks run; tasks of one image behave alike
+	 * @param latencyTargetMillis the bound of the tasks' own response times, 0 for none
+	 * @param fillsIdle whether the tasks only take processor time that others leave
+	 * @param mayMiss tasks that may be away at once by the scheduler's doing
+	 */
+	public record ServiceTerms(boolean lasting, String image, long latencyTargetMillis, boolean fillsIdle,
+			int mayMiss) {
+
+		/** Work that ends. */
+		public static final ServiceTerms NONE = new ServiceTerms(false, "", 0, false, 0);
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/TaskId.java
@@ -0,0 +1,46 @@
+package org.almondmount.workflow;
+
+import org.almondmount.model.InvalidValueException;
+
+/**
+ * One task of a job. Its text form is {@code job.occurrence.step.index}.
+ *
+ * @param job the job's identifier, without dots
+ * @param occurrence which repetition of the job, from 0
+ * @param step the step's number, from 0
+ * @param index the task's number within its step, from 0
+ */
+public record TaskId(String job, int occurrence, int step, int index) {
+
+	private static final int PARTS = 4;
+
+	/**
+	 * Reads the text form.
+	 * @param text the text
+	 * @return the task
+	 * @throws InvalidValueException where the text names no task
+	 */
+	public static TaskId parse(String text) {
+		String[] parts = text.split("\\.", -1);
+		if (parts.length != PARTS || parts[0].isEmpty()) {
+			throw invalid(text);
+		}
+		try {
+			return new TaskId(parts[0], Integer.parseInt(parts[1]), Integer.parseInt(parts[2]),
+					Integer.parseInt(parts[3]));
+		}
+		catch (NumberFormatException ex) {
+			throw invalid(text);
+		}
+	}
+
+	@Override
+	public String toString() {
+		return this.job + "." + this.occurrence + "." + this.step + "." + this.index;
+	}
+
+	private static InvalidValueException invalid(String text) {
+		return new InvalidValueException("task", "is '" + text + "'; give job.occurrence.step.index");
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/WorkerLife.java
@@ -0,0 +1,20 @@
+package org.almondmount.workflow;
+
+/**
+ * One life of a worker: it ends with a crash or a restart, and what ran in it ends with
+ * it.
+ *
+ * @param worker the worker's identifier, which may come back after a restart
+ * @param bornMillis when this life began, in milliseconds since 1970
+ */
+public record WorkerLife(String worker, long bornMillis) {
+
+	/** No worker. */
+	public static final WorkerLife NONE = new WorkerLife("", 0);
+
+	@Override
+	public String toString() {
+		return this.worker + "@" + this.bornMillis;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/WorkerReport.java
@@ -0,0 +1,45 @@
+package org.almondmount.workflow;
+
+import java.util.List;
+
+/**
+ * What the process beside a worker tells of it. Immutable.
+ *
+ * @param target the name of that process
+ * @param worker what the worker says of itself
+ * @param epoch the highest epoch that the worker obeys
+ * @param running what runs
+ * @param ended what ended and was not acknowledged
+ */
+public record WorkerReport(String target, WorkerDescription worker, long epoch, List<Running> running,
+		List<Ended> ended) {
+
+	public WorkerReport {
+		running = List.copyOf(running);
+		ended = List.copyOf(ended);
+	}
+
+	/**
+	 * A run that is there.
+	 *
+	 * @param task the task
+	 * @param run the run's number
+	 * @param checkpoint its last checkpoint, or empty
+	 * @param percent how far it is
+	 */
+	public record Running(TaskId task, int run, String checkpoint, int percent) {
+	}
+
+	/**
+	 * A run that ended.
+	 *
+	 * @param number counts the ends of one life of the worker
+	 * @param task the task
+	 * @param run the run's number
+	 * @param how how it ended
+	 * @param checkpoint its last checkpoint, or empty
+	 */
+	public record Ended(long number, TaskId task, int run, RunEnding how, String checkpoint) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/Workflow.java
@@ -0,0 +1,71 @@
+package org.almondmount.workflow;
+
+import java.util.List;
+
+import org.almondmount.model.InvalidValueException;
+
+/**
+ * A job as its caller handed it in. Immutable.
+ *
+ * @param id chosen by the caller; the same identifier is the same job
+ * @param queue the name of its queue
+ * @param customer whose job it is, or empty where the queue takes anonymous ones
+ * @param program what each task is told to run
+ * @param steps its steps; {@code after} refers to their numbers
+ * @param schedule when its occurrences are due
+ * @param acceptedAtMillis when it was accepted, in milliseconds since 1970
+ */
+public record Workflow(String id, String queue, String customer, String program, List<Step> steps, Schedule schedule,
+		long acceptedAtMillis) {
+
+	public Workflow {
+		steps = List.copyOf(steps);
+		if (steps.isEmpty()) {
+			throw new InvalidValueException("steps", "is empty; give at least one step");
+		}
+		for (int number = 0; number < steps.size(); number++) {
+			requireEarlier(number, steps.get(number).after(), steps.size());
+		}
+	}
+
+	private static void requireEarlier(int number, List<Integer> after, int steps) {
+		for (int earlier : after) {
+			if (earlier < 0 || earlier >= steps || earlier == number) {
+				throw new InvalidValueException("steps." + number + ".after",
+						"names step " + earlier + "; name other steps of the same job");
+			}
+		}
+	}
+
+	/**
+	 * When the occurrences of a job are due.
+	 *
+	 * @param firstDueMillis when the first one is due, in milliseconds since 1970
+	 * @param intervalMillis time between two
+	 * @param repetitions how many there are, 0 for a job that runs once and at once
+	 */
+	public record Schedule(long firstDueMillis, long intervalMillis, int repetitions) {
+
+		/** Once and at once. */
+		public static final Schedule ONCE = new Schedule(0, 0, 0);
+
+		public boolean timed() {
+			return this.repetitions > 0;
+		}
+
+		public int occurrences() {
+			return Math.max(1, this.repetitions);
+		}
+
+		/**
+		 * When an occurrence is due.
+		 * @param occurrence its number, from 0
+		 * @return milliseconds since 1970, 0 for a job without times
+		 */
+		public long dueAt(int occurrence) {
+			return timed() ? this.firstDueMillis + occurrence * this.intervalMillis : 0;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/WorkflowCommand.java
@@ -0,0 +1,48 @@
+package org.almondmount.workflow;
+
+import java.util.List;
+
+/**
+ * Everything that the workflow scheduler asks its driver to do, in order.
+ */
+public sealed interface WorkflowCommand {
+
+	/**
+	 * Keep these records in one transaction that holds only under the term's epoch;
+	 * answer with {@link WorkflowEvent.Kept}. At most one is outstanding.
+	 */
+	record Keep(long sequence, List<JobRecord> records) implements WorkflowCommand {
+	}
+
+	/** Begin a run. */
+	record StartRun(String target, WorkerLife life, TaskId task, int run, String program,
+			String checkpoint) implements WorkflowCommand {
+	}
+
+	/** End a run, or make sure that it never begins. */
+	record StopRun(String target, WorkerLife life, TaskId task, int run) implements WorkflowCommand {
+	}
+
+	/** Ends up to that number are kept and may be forgotten. */
+	record AcknowledgeEnds(String target, WorkerLife life, long upTo) implements WorkflowCommand {
+	}
+
+	/** The cancelling of a job is kept. */
+	record CancelKept(String job) implements WorkflowCommand {
+	}
+
+	/**
+	 * A decision that an administrator may want to read later.
+	 *
+	 * @param event the event's name, a constant
+	 * @param keysAndValues alternating keys and values
+	 */
+	record Explain(String event, List<Object> keysAndValues) implements WorkflowCommand {
+
+		public static Explain of(String event, Object... keysAndValues) {
+			return new Explain(event, List.of(keysAndValues));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -0,0 +1,186 @@
+package org.almondmount.workflow.impl;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.JobRecord;
+import org.almondmount.workflow.JobRecord.OpenRun;
+import org.almondmount.workflow.JobRecord.TaskRecord;
+import org.almondmount.workflow.RunEnding;
+import org.almondmount.workflow.SchedulerPolicy;
+import org.almondmount.workflow.Workflow;
+import org.almondmount.workflow.WorkflowCommand;
+import org.almondmount.workflow.WorkflowEvent;
+import org.almondmount.workflow.WorkflowScheduler;
+
+/**
+ * The decisions of the holder of the scheduler's term. Deterministic; not thread-safe.
+ */
+public final class DefaultWorkflowScheduler implements WorkflowScheduler {
+
+	private final SchedulerState state;
+
+	private final RunLedger ledger;
+
+	private final WorkerReports reports;
+
+	private final PlacementRound round;
+
+	public DefaultWorkflowScheduler(SchedulerPolicy policy) {
+		this.state = new SchedulerState(policy);
+		this.ledger = new RunLedger(this.state);
+		this.reports = new WorkerReports(this.state, this.ledger);
+		this.round = new PlacementRound(this.state, this.ledger);
+	}
+
+	@Override
+	public List<WorkflowCommand> handle(Instant now, WorkflowEvent event) {
+		this.state.now(now);
+		if (!declared(event) && !term(event) && this.state.epoch() != 0) {
+			decide(event);
+		}
+		if (this.state.epoch() != 0 && !(event instanceof WorkflowEvent.WorkerHeard)) {
+			this.round.run();
+			this.state.writeAhead().flush(this.state.commands());
+		}
+		return this.state.takeCommands();
+	}
+
+	@Override
+	public Optional<JobPhase> phase(String job) {
+		return Optional.ofNullable(this.state.jobs().get(job)).map(JobState::keptPhase);
+	}
+
+	@Override
+	public int waiting(String queue) {
+		int waiting = 0;
+		for (JobState job : this.state.jobs().values()) {
+			if (job.phase() == JobPhase.QUEUED && job.workflow().queue().equals(queue)) {
+				waiting++;
+			}
+		}
+		return waiting;
+	}
+
+	private boolean declared(WorkflowEvent event) {
+		if (event instanceof WorkflowEvent.ConfigurationChanged changed) {
+			this.state.configuration(changed.configuration());
+			return true;
+		}
+		if (event instanceof WorkflowEvent.ZonesOutChanged changed) {
+			this.state.zonesOut(changed.zones());
+			return true;
+		}
+		return false;
+	}
+
+	private boolean term(WorkflowEvent event) {
+		if (event instanceof WorkflowEvent.TermBegan began) {
+			this.round.clear();
+			this.state.beginTerm(began.epoch());
+			began.jobs().forEach(this::restore);
+			return true;
+		}
+		if (event instanceof WorkflowEvent.TermEnded) {
+			this.round.clear();
+			this.state.endTerm();
+			return true;
+		}
+		return false;
+	}
+
+	private void decide(WorkflowEvent event) {
+		if (event instanceof WorkflowEvent.JobAccepted accepted) {
+			accept(accepted.job());
+		}
+		else if (event instanceof WorkflowEvent.CancelRequested cancel) {
+			cancel(cancel.job());
+		}
+		else if (event instanceof WorkflowEvent.WorkerReported reported) {
+			this.reports.read(reported.report());
+		}
+		else if (event instanceof WorkflowEvent.WorkerHeard heard) {
+			this.reports.heard(heard.target());
+		}
+		else if (event instanceof WorkflowEvent.RunRefused refused) {
+			this.reports.refused(refused.target(), refused.task(), refused.run(), refused.why());
+		}
+		else if (event instanceof WorkflowEvent.Kept kept) {
+			this.state.writeAhead().kept(kept.sequence());
+		}
+		else if (event instanceof WorkflowEvent.Tick) {
+			this.reports.timePassed();
+		}
+	}
+
+	private void accept(Workflow job) {
+		if (this.state.jobs().containsKey(job.id())) {
+			return;
+		}
+		this.state.jobs().put(job.id(), new JobState(job));
+		this.state.explain("job-known", "job", job.id(), "queue", job.queue(), "customer", job.customer());
+	}
+
+	private void cancel(String id) {
+		JobState job = this.state.jobs().get(id);
+		if (job == null) {
+			return;
+		}
+		if (!job.over()) {
+			job.phase(JobPhase.CANCELLED);
+			this.state.writeAhead().changed(job);
+			job.openRuns().forEach(this.ledger::stop);
+			this.state.explain("job-cancelled", "job", id, "openRuns", job.openRuns().size());
+		}
+		this.state.writeAhead().afterKept(() -> this.state.emit(new WorkflowCommand.CancelKept(id)));
+	}
+
+	private void restore(WorkflowEvent.KeptJob kept) {
+		JobState job = new JobState(kept.job());
+		this.state.jobs().put(job.id(), job);
+		kept.progress().ifPresent((progress) -> restore(job, progress));
+		if (kept.cancelled()) {
+			cancel(job.id());
+		}
+	}
+
+	private void restore(JobState job, JobRecord progress) {
+		job.restore(progress);
+		for (TaskRecord task : progress.tasks()) {
+			StepState step = job.step(task.step().occurrence(), task.step().step());
+			if (step == null || task.index() >= step.tasks().size()) {
+				continue;
+			}
+			for (OpenRun open : task.openRuns()) {
+				inherit(step.tasks().get(task.index()), open);
+			}
+		}
+	}
+
+	// Two runs of earlier terms may name two lives of one worker; the later life is the
+	// one
+	// that counts, and what ran in the earlier one ended with it.
+	private void inherit(TaskState task, OpenRun open) {
+		Worker worker = this.state.worker(open.target(), open.life());
+		if (worker.life().bornMillis() < open.life().bornMillis()) {
+			this.state.workers().remove(open.target());
+			Worker later = this.state.worker(open.target(), open.life());
+			closeInherited(worker);
+			worker = later;
+		}
+		Run run = new Run(task, open.number(), worker, open.epoch(), Run.State.INHERITED);
+		task.openRuns().add(run);
+		if (worker.life().equals(open.life())) {
+			worker.add(run);
+		}
+		else {
+			this.ledger.close(run, RunEnding.LOST, "");
+		}
+	}
+
+	private void closeInherited(Worker worker) {
+		List.copyOf(worker.runs()).forEach((run) -> this.ledger.close(run, RunEnding.LOST, ""));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/JobState.java
@@ -0,0 +1,139 @@
+package org.almondmount.workflow.impl;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.JobRecord;
+import org.almondmount.workflow.JobRecord.StepKey;
+import org.almondmount.workflow.JobRecord.TaskRecord;
+import org.almondmount.workflow.Workflow;
+
+/**
+ * A job. Mutable; owned by the scheduler.
+ */
+final class JobState {
+
+	private final Workflow workflow;
+
+	private final Map<StepKey, StepState> steps = new LinkedHashMap<>();
+
+	private JobPhase phase = JobPhase.QUEUED;
+
+	private JobPhase keptPhase = JobPhase.QUEUED;
+
+	JobState(Workflow workflow) {
+		this.workflow = workflow;
+		for (int occurrence = 0; occurrence < workflow.schedule().occurrences(); occurrence++) {
+			for (int number = 0; number < workflow.steps().size(); number++) {
+				StepKey key = new StepKey(occurrence, number);
+				this.steps.put(key, new StepState(this, key, workflow.steps().get(number)));
+			}
+		}
+	}
+
+	Workflow workflow() {
+		return this.workflow;
+	}
+
+	String id() {
+		return this.workflow.id();
+	}
+
+	Collection<StepState> steps() {
+		return this.steps.values();
+	}
+
+	StepState step(int occurrence, int number) {
+		return this.steps.get(new StepKey(occurrence, number));
+	}
+
+	JobPhase phase() {
+		return this.phase;
+	}
+
+	void phase(JobPhase next) {
+		this.phase = next;
+	}
+
+	JobPhase keptPhase() {
+		return this.keptPhase;
+	}
+
+	void keptPhase(JobPhase kept) {
+		this.keptPhase = kept;
+	}
+
+	boolean over() {
+		return this.phase.over();
+	}
+
+	/**
+	 * Whether all steps that a step waits for are done.
+	 * @param step the step
+	 * @return whether its turn has come
+	 */
+	boolean turnOf(StepState step) {
+		for (int earlier : step.spec().after()) {
+			if (!step(step.occurrence(), earlier).done()) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	boolean allDone() {
+		return this.steps.values().stream().allMatch(StepState::done);
+	}
+
+	List<Run> openRuns() {
+		List<Run> runs = new ArrayList<>();
+		for (StepState step : this.steps.values()) {
+			for (TaskState task : step.tasks()) {
+				runs.addAll(task.openRuns());
+			}
+		}
+		return runs;
+	}
+
+	JobRecord toRecord() {
+		List<StepKey> doneSteps = new ArrayList<>();
+		List<TaskRecord> tasks = new ArrayList<>();
+		for (StepState step : this.steps.values()) {
+			if (step.done()) {
+				doneSteps.add(step.key());
+			}
+			for (TaskState task : step.tasks()) {
+				if (!task.idle() || (!step.done() && task.hasHistory())) {
+					tasks.add(task.toRecord());
+				}
+			}
+		}
+		return new JobRecord(id(), this.phase, doneSteps, tasks);
+	}
+
+	/**
+	 * Takes over what was kept; open runs are left to the caller.
+	 * @param kept the record
+	 */
+	void restore(JobRecord kept) {
+		this.phase = kept.phase();
+		this.keptPhase = kept.phase();
+		for (TaskRecord task : kept.tasks()) {
+			StepState step = this.steps.get(task.step());
+			if (step != null && task.index() < step.tasks().size()) {
+				step.tasks().get(task.index()).restore(task);
+			}
+		}
+		for (StepKey key : kept.doneSteps()) {
+			StepState step = this.steps.get(key);
+			if (step != null) {
+				step.restoreDone();
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -0,0 +1,193 @@
+package org.almondmount.workflow.impl;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.almondmount.workflow.FleetCustomer;
+import org.almondmount.workflow.JobQueue;
+import org.almondmount.workflow.WorkerDescription;
+import org.almondmount.workflow.Workflow;
+
+/**
+ * Decides what starts now, where, and what gives way to it. Owned by the scheduler.
+ */
+final class PlacementRound {
+
+	private static final int URGENT = 0;
+
+	private final SchedulerState state;
+
+	private final RunLedger ledger;
+
+	private final Placer placer = new Placer();
+
+	private final Preemption preemption = new Preemption(this.placer);
+
+	/** Room that is being cleared, by the step that it is cleared for. */
+	private final Map<StepState, Map<TaskState, Worker>> cleared = new LinkedHashMap<>();
+
+	PlacementRound(SchedulerState state, RunLedger ledger) {
+		this.state = state;
+		this.ledger = ledger;
+	}
+
+	void clear() {
+		this.cleared.clear();
+	}
+
+	/** Starts what can be started. */
+	void run() {
+		if (this.state.epoch() == 0) {
+			return;
+		}
+		List<WorkUnit> units = waitingUnits();
+		units.sort(Comparator.comparing((WorkUnit unit) -> !unit.guaranteed())
+			.thenComparingInt((unit) -> unit.queue().priority())
+			.thenComparingLong(WorkUnit::dueMillis));
+		this.cleared.keySet().removeIf((step) -> units.stream().noneMatch((unit) -> unit.step() == step));
+		for (WorkUnit unit : units) {
+			place(unit);
+		}
+	}
+
+	private void place(WorkUnit unit) {
+		List<Worker> workers = eligible(unit);
+		if (workers.isEmpty()) {
+			return;
+		}
+		Optional<Map<TaskState, Worker>> found = this.placer.place(unit, workers, () -> roomFor(unit));
+		if (found.isPresent()) {
+			this.cleared.remove(unit.step());
+			this.ledger.open(unit, found.get());
+			return;
+		}
+		if (unit.guaranteed() && !this.cleared.containsKey(unit.step())) {
+			this.preemption.plan(this.state.steadyMillis(), unit, workers, this::mayGiveWay)
+				.ifPresent((plan) -> giveWay(unit, plan));
+		}
+	}
+
+	private void giveWay(WorkUnit unit, Preemption.Plan plan) {
+		this.cleared.put(unit.step(), plan.placement());
+		this.state.explain("runs-give-way", "job", unit.step().job().id(), "step", unit.step().number(), "victims",
+				plan.victims().size(), "coreSeconds", Math.round(plan.cost()));
+		plan.victims().forEach(this.ledger::stop);
+	}
+
+	private boolean mayGiveWay(Run run) {
+		StepState step = run.task().step();
+		int priority = this.state.queueOf(step.job()).map(JobQueue::priority).orElse(Integer.MAX_VALUE);
+		return priority > URGENT && step.spec().service().mayMiss() == 0;
+	}
+
+	// Room that was cleared for one unit is not there for any other.
+	private Rooms roomFor(WorkUnit unit) {
+		Rooms rooms = new Rooms();
+		this.cleared.forEach((step, placement) -> {
+			if (step != unit.step()) {
+				placement.forEach((task, worker) -> rooms.take(worker, step.spec().demand()));
+			}
+		});
+		return rooms;
+	}
+
+	private List<Worker> eligible(WorkUnit unit) {
+		String label = unit.step().spec().placement().requiredLabel();
+		List<Worker> eligible = new ArrayList<>();
+		for (Worker worker : this.state.workers().values()) {
+			if (!this.state.mayStartOn(worker)) {
+				continue;
+			}
+			WorkerDescription said = worker.description().orElseThrow();
+			if (said.pool().equals(unit.queue().pool()) && (label.isEmpty() || said.labels().contains(label))) {
+				eligible.add(worker);
+			}
+		}
+		return eligible;
+	}
+
+	private List<WorkUnit> waitingUnits() {
+		Map<String, Long> urgentDemand = urgentDemand();
+		List<WorkUnit> units = new ArrayList<>();
+		for (JobState job : this.state.jobs().values()) {
+			Optional<JobQueue> queue = this.state.queueOf(job);
+			if (job.over() || queue.isEmpty()) {
+				continue;
+			}
+			boolean guaranteed = isGuaranteed(job, queue.get(), urgentDemand);
+			for (StepState step : job.steps()) {
+				if (!step.done() && isDue(step) && job.turnOf(step)) {
+					addUnits(units, queue.get(), step, guaranteed);
+				}
+			}
+		}
+		return units;
+	}
+
+	private boolean isDue(StepState step) {
+		long due = step.job().workflow().schedule().dueAt(step.occurrence());
+		return due <= this.state.wallMillis() && step.notBeforeMillis() <= this.state.steadyMillis();
+	}
+
+	private void addUnits(List<WorkUnit> units, JobQueue queue, StepState step, boolean guaranteed) {
+		long due = dueMillis(step);
+		if (step.spec().gang()) {
+			if (step.allIdle()) {
+				units.add(new WorkUnit(queue, step, step.tasks(), due, guaranteed));
+			}
+			return;
+		}
+		for (TaskState task : step.tasks()) {
+			if (task.idle() && !task.done()) {
+				units.add(new WorkUnit(queue, step, List.of(task), due, guaranteed));
+			}
+		}
+	}
+
+	private static long dueMillis(StepState step) {
+		Workflow workflow = step.job().workflow();
+		return Math.max(workflow.acceptedAtMillis(), workflow.schedule().dueAt(step.occurrence()));
+	}
+
+	private static boolean isGuaranteed(JobState job, JobQueue queue, Map<String, Long> urgentDemand) {
+		return queue.priority() == URGENT && urgentDemand.getOrDefault(job.id(), Long.MAX_VALUE) <= 0;
+	}
+
+	// A customer's urgent jobs belong to its guarantee in the order of their arrival, as
+	// long as the accelerators of all of them together stay within it. The value kept for
+	// a job is by how much the guarantee would be exceeded with it.
+	private Map<String, Long> urgentDemand() {
+		Map<String, Long> byCustomer = new HashMap<>();
+		Map<String, Long> byJob = new HashMap<>();
+		for (JobState job : this.state.jobs().values()) {
+			boolean urgent = this.state.queueOf(job).map((queue) -> queue.priority() == URGENT).orElse(false);
+			Optional<FleetCustomer> customer = this.state.configuration().customer(job.workflow().customer());
+			if (job.over() || !urgent || customer.isEmpty()) {
+				continue;
+			}
+			long sum = byCustomer.getOrDefault(customer.get().name(), 0L) + accelerators(job);
+			long over = sum - customer.get().guaranteedAccelerators();
+			if (over <= 0) {
+				byCustomer.put(customer.get().name(), sum);
+			}
+			byJob.put(job.id(), over);
+		}
+		return byJob;
+	}
+
+	private static long accelerators(JobState job) {
+		long sum = 0;
+		for (StepState step : job.steps()) {
+			if (!step.done()) {
+				sum += step.spec().demand().accelerators() * step.spec().count();
+			}
+		}
+		return sum;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -0,0 +1,148 @@
+package org.almondmount.workflow.impl;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/**
+ * Chooses workers for a unit. Stateless.
+ * <p>
+ * A unit goes where it leaves the least room, so that whole workers and racks stay free
+ * for what needs them. A gang that is slow across racks goes into one rack or waits,
+ * unless no rack could hold it even if it were empty: spread over racks it would take
+ * three times as long and hold its accelerators all the while.
+ */
+final class Placer {
+
+	/** More than the room of a whole worker, so that the near rack always wins. */
+	private static final double FAR_COST = 10;
+
+	/** One failed job outweighs a better fit, not the rack of the data. */
+	private static final double DOUBT_COST = 3;
+
+	/**
+	 * Chooses workers.
+	 * @param unit what is to be placed
+	 * @param workers those that may run it
+	 * @param rooms makes the room that is there; called for each try
+	 * @return the worker of each task, or empty where it does not fit now
+	 */
+	Optional<Map<TaskState, Worker>> place(WorkUnit unit, List<Worker> workers, Supplier<Rooms> rooms) {
+		if (!unit.gang()) {
+			return single(unit, workers, rooms.get());
+		}
+		if (!unit.wantsOneRack() || !anyRackCouldHold(unit, workers)) {
+			return fill(unit, workers, rooms.get());
+		}
+		for (List<Worker> rack : racks(unit, workers)) {
+			Optional<Map<TaskState, Worker>> found = fill(unit, rack, rooms.get());
+			if (found.isPresent()) {
+				return found;
+			}
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * The racks of workers, the one near the unit's data first, then those with the least
+	 * room.
+	 * @param unit the unit
+	 * @param workers the workers
+	 * @return their racks
+	 */
+	List<List<Worker>> racks(WorkUnit unit, List<Worker> workers) {
+		Map<String, List<Worker>> racks = new LinkedHashMap<>();
+		for (Worker worker : workers) {
+			racks.computeIfAbsent(worker.rack(), (rack) -> new ArrayList<>()).add(worker);
+		}
+		String near = unit.step().spec().placement().dataRack();
+		List<List<Worker>> sorted = new ArrayList<>(racks.values());
+		sorted.sort(Comparator.comparing((List<Worker> rack) -> !rack.get(0).rack().equals(near))
+			.thenComparingDouble(Placer::freeShare));
+		return sorted;
+	}
+
+	/**
+	 * Whether some rack would hold the unit if nothing else ran there.
+	 * @param unit the unit
+	 * @param workers those that may run it
+	 * @return whether one would
+	 */
+	boolean anyRackCouldHold(WorkUnit unit, List<Worker> workers) {
+		for (List<Worker> rack : racks(unit, workers)) {
+			Rooms empty = new Rooms();
+			for (Worker worker : rack) {
+				worker.runs().forEach((run) -> empty.give(worker, run.demand()));
+			}
+			if (fill(unit, rack, empty).isPresent()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	Optional<Map<TaskState, Worker>> fill(WorkUnit unit, List<Worker> workers, Rooms rooms) {
+		List<Worker> order = new ArrayList<>(workers);
+		order.sort(Comparator.comparingInt((Worker worker) -> worker.health().doubt())
+			.thenComparingDouble((worker) -> rooms.free(worker).shareOf(worker.capacity())));
+		return fillInOrder(unit, order, rooms);
+	}
+
+	/**
+	 * Fills one worker after the other.
+	 * @param unit what is to be placed
+	 * @param order the workers in the order in which they are filled
+	 * @param rooms the room that is there; taken as far as the unit goes
+	 * @return the worker of each task, or empty where not all fit
+	 */
+	static Optional<Map<TaskState, Worker>> fillInOrder(WorkUnit unit, List<Worker> order, Rooms rooms) {
+		Map<TaskState, Worker> placement = new LinkedHashMap<>();
+		int next = 0;
+		for (TaskState task : unit.tasks()) {
+			while (next < order.size() && !rooms.takes(order.get(next), unit)) {
+				next++;
+			}
+			if (next == order.size()) {
+				return Optional.empty();
+			}
+			rooms.place(order.get(next), unit);
+			placement.put(task, order.get(next));
+		}
+		return Optional.of(placement);
+	}
+
+	private static Optional<Map<TaskState, Worker>> single(WorkUnit unit, List<Worker> workers, Rooms rooms) {
+		String near = unit.step().spec().placement().dataRack();
+		Worker best = null;
+		double bestCost = Double.MAX_VALUE;
+		for (Worker worker : workers) {
+			if (!rooms.takes(worker, unit)) {
+				continue;
+			}
+			double cost = rooms.free(worker).minus(unit.demand()).shareOf(worker.capacity());
+			cost += farCost(near, worker) + worker.health().doubt() * DOUBT_COST;
+			if (cost < bestCost) {
+				best = worker;
+				bestCost = cost;
+			}
+		}
+		return (best != null) ? Optional.of(Map.of(unit.tasks().get(0), best)) : Optional.empty();
+	}
+
+	private static double farCost(String near, Worker worker) {
+		return (near.isEmpty() || near.equals(worker.rack())) ? 0 : FAR_COST;
+	}
+
+	private static double freeShare(List<Worker> rack) {
+		double free = 0;
+		for (Worker worker : rack) {
+			free += worker.free().shareOf(worker.capacity());
+		}
+		return free;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -0,0 +1,128 @@
+package org.almondmount.workflow.impl;
+
+import org.almondmount.workflow.JobRecord.OpenRun;
+import org.almondmount.workflow.ResourceAmount;
+
+/**
+ * One run of a task that may be at work. Mutable; owned by the scheduler.
+ */
+final class Run {
+
+	private final TaskState task;
+
+	private final int number;
+
+	private final Worker worker;
+
+	private final long epoch;
+
+	private State state;
+
+	private boolean stopping;
+
+	private long lastOrderMillis;
+
+	private long startedMillis;
+
+	private int percent;
+
+	Run(TaskState task, int number, Worker worker, long epoch, State state) {
+		this.task = task;
+		this.number = number;
+		this.worker = worker;
+		this.epoch = epoch;
+		this.state = state;
+	}
+
+	TaskState task() {
+		return this.task;
+	}
+
+	int number() {
+		return this.number;
+	}
+
+	Worker worker() {
+		return this.worker;
+	}
+
+	long epoch() {
+		return this.epoch;
+	}
+
+	ResourceAmount demand() {
+		return this.task.step().spec().demand();
+	}
+
+	State state() {
+		return this.state;
+	}
+
+	boolean stopping() {
+		return this.stopping;
+	}
+
+	/** From now on the run is to end; a second call changes nothing. */
+	void stop() {
+		this.stopping = true;
+	}
+
+	long lastOrderMillis() {
+		return this.lastOrderMillis;
+	}
+
+	void ordered(long now) {
+		this.lastOrderMillis = now;
+		if (this.state == State.KEEPING) {
+			this.state = State.ORDERED;
+		}
+	}
+
+	void stopOrdered(long now) {
+		this.lastOrderMillis = now;
+	}
+
+	void seenRunning(long now, int progress) {
+		if (this.state != State.RUNNING) {
+			this.state = State.RUNNING;
+			this.startedMillis = now;
+		}
+		this.percent = progress;
+	}
+
+	boolean running() {
+		return this.state == State.RUNNING;
+	}
+
+	long startedMillis() {
+		return this.startedMillis;
+	}
+
+	int percent() {
+		return this.percent;
+	}
+
+	OpenRun toRecord() {
+		return new OpenRun(this.number, this.worker.target(), this.worker.life(), this.epoch);
+	}
+
+	/**
+	 * How much is known of a run.
+	 */
+	enum State {
+
+		/** Its order waits until the run is kept. */
+		KEEPING,
+
+		/** Its order was sent and nothing was heard of it yet. */
+		ORDERED,
+
+		/** An earlier term ordered it; whether it was begun is not known. */
+		INHERITED,
+
+		/** Its worker said that it runs. */
+		RUNNING
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
@@ -0,0 +1,177 @@
+package org.almondmount.workflow.impl;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.RunEnding;
+import org.almondmount.workflow.WorkflowCommand;
+
+/**
+ * Opens and closes runs, and draws what follows for their tasks and jobs. Owned by the
+ * scheduler.
+ */
+final class RunLedger {
+
+	/** Pause before a task that failed is tried again, in milliseconds. */
+	private static final long FAILURE_PAUSE_MILLIS = 100;
+
+	private final SchedulerState state;
+
+	RunLedger(SchedulerState state) {
+		this.state = state;
+	}
+
+	/**
+	 * Opens a run for each task of a unit; the orders leave once the runs are kept.
+	 * @param unit the unit
+	 * @param placement the worker of each task
+	 */
+	void open(WorkUnit unit, Map<TaskState, Worker> placement) {
+		int number = unit.gang() ? unit.step().lastRun() + 1 : unit.tasks().get(0).lastRun() + 1;
+		List<Run> runs = new ArrayList<>();
+		placement.forEach((task, worker) -> {
+			Run run = new Run(task, number, worker, this.state.epoch(), Run.State.KEEPING);
+			task.numbered(number);
+			task.openRuns().add(run);
+			worker.add(run);
+			runs.add(run);
+		});
+		JobState job = unit.step().job();
+		if (job.phase() == JobPhase.QUEUED) {
+			job.phase(JobPhase.RUNNING);
+		}
+		this.state.writeAhead().changed(job);
+		this.state.writeAhead().afterKept(() -> order(unit.step(), runs));
+		this.state.explain("run-chosen", "job", job.id(), "occurrence", unit.step().occurrence(), "step",
+				unit.step().number(), "run", number, "tasks", runs.size(), "workers",
+				placement.values().stream().map(Worker::target).distinct().toList());
+	}
+
+	/**
+	 * Closes a run that is surely over.
+	 * @param run the run
+	 * @param how how it ended
+	 * @param checkpoint its last checkpoint, or empty
+	 */
+	void close(Run run, RunEnding how, String checkpoint) {
+		TaskState task = run.task();
+		StepState step = task.step();
+		JobState job = step.job();
+		run.worker().remove(run);
+		task.openRuns().remove(run);
+		task.checkpoint(checkpoint);
+		this.state.writeAhead().changed(job);
+		this.state.explain("run-ended", "job", job.id(), "task", task.id(), "run", run.number(), "how", how, "worker",
+				run.worker().target(), "life", run.worker().life());
+		if (how.done()) {
+			run.worker().health().succeeded();
+			taskDone(step, task);
+		}
+		else if (how.countsAsAttempt()) {
+			taskFailed(run);
+		}
+		if (step.spec().gang() && !step.done()) {
+			stopAll(step);
+		}
+	}
+
+	/**
+	 * Orders a run to end.
+	 * @param run the run
+	 */
+	void stop(Run run) {
+		if (run.stopping()) {
+			return;
+		}
+		run.stop();
+		if (run.state() != Run.State.KEEPING) {
+			orderStop(run);
+		}
+	}
+
+	/**
+	 * Sends the order to end a run, for the first time or again.
+	 * @param run the run
+	 */
+	void orderStop(Run run) {
+		run.stopOrdered(this.state.steadyMillis());
+		this.state.emit(
+				new WorkflowCommand.StopRun(run.worker().target(), run.worker().life(), run.task().id(), run.number()));
+	}
+
+	/**
+	 * Sends the order to begin a run, for the first time or again.
+	 * @param run the run
+	 */
+	void orderStart(Run run) {
+		run.ordered(this.state.steadyMillis());
+		StepState step = run.task().step();
+		String checkpoint = step.spec().gang() ? step.gangCheckpoint() : run.task().checkpoint();
+		this.state.emit(new WorkflowCommand.StartRun(run.worker().target(), run.worker().life(), run.task().id(),
+				run.number(), step.job().workflow().program(), checkpoint));
+	}
+
+	// Between choice and order the run was being kept, and the worker's zone may have
+	// been
+	// taken out, or the worker have said that it leaves. Nothing was sent yet, so the
+	// runs
+	// can be closed as never begun. A gang is ordered whole or not at all.
+	private void order(StepState step, List<Run> runs) {
+		boolean wanted = !step.job().over();
+		for (Run run : runs) {
+			wanted &= !run.stopping() && run.task().openRuns().contains(run) && this.state.mayStartOn(run.worker());
+		}
+		for (Run run : runs) {
+			if (!run.task().openRuns().contains(run)) {
+				continue;
+			}
+			if (wanted) {
+				orderStart(run);
+			}
+			else {
+				close(run, RunEnding.LOST, "");
+			}
+		}
+	}
+
+	private void taskDone(StepState step, TaskState task) {
+		JobState job = step.job();
+		if (step.spec().lasting()) {
+			return;
+		}
+		step.taskDone(task);
+		if (!job.over() && job.allDone()) {
+			job.phase(JobPhase.COMPLETED);
+			this.state.explain("job-completed", "job", job.id());
+		}
+	}
+
+	private void taskFailed(Run run) {
+		StepState step = run.task().step();
+		JobState job = step.job();
+		if (run.worker().health().failed(this.state.steadyMillis(), job.id())) {
+			this.state.explain("worker-paused", "worker", run.worker().target(), "why", "several jobs failed there");
+		}
+		if (step.spec().lasting()) {
+			return;
+		}
+		int failures = step.countFailure(run.task(), run.number());
+		step.notBefore(this.state.steadyMillis() + FAILURE_PAUSE_MILLIS);
+		int most = this.state.queueOf(job).map((queue) -> queue.maxAttempts()).orElse(1);
+		if (!job.over() && failures >= most) {
+			job.phase(JobPhase.FAILED);
+			this.state.explain("job-failed", "job", job.id(), "task", run.task().id(), "attempts", failures);
+			job.openRuns().forEach(this::stop);
+		}
+	}
+
+	// The worker ends the other members by itself, but one whose start is still on its
+	// way
+	// would wait for them until the gang's time runs out.
+	private void stopAll(StepState step) {
+		step.tasks().forEach((task) -> List.copyOf(task.openRuns()).forEach(this::stop));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/SchedulerState.java
@@ -0,0 +1,153 @@
+package org.almondmount.workflow.impl;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.almondmount.workflow.FleetConfiguration;
+import org.almondmount.workflow.JobQueue;
+import org.almondmount.workflow.SchedulerPolicy;
+import org.almondmount.workflow.WorkerLife;
+import org.almondmount.workflow.WorkflowCommand;
+import org.almondmount.workflow.WorkflowScheduler.Instant;
+
+/**
+ * What the parts of the scheduler share. Mutable; owned by the scheduler.
+ */
+final class SchedulerState {
+
+	private final SchedulerPolicy policy;
+
+	private final Map<String, JobState> jobs = new LinkedHashMap<>();
+
+	private final Map<String, Worker> workers = new LinkedHashMap<>();
+
+	private final WriteAhead writeAhead = new WriteAhead();
+
+	private List<WorkflowCommand> commands = new ArrayList<>();
+
+	private FleetConfiguration configuration = FleetConfiguration.NONE;
+
+	private Set<String> zonesOut = Set.of();
+
+	private long epoch;
+
+	private Instant now = new Instant(0, 0);
+
+	SchedulerState(SchedulerPolicy policy) {
+		this.policy = policy;
+	}
+
+	SchedulerPolicy policy() {
+		return this.policy;
+	}
+
+	Map<String, JobState> jobs() {
+		return this.jobs;
+	}
+
+	/**
+	 * The workers by the target beside them; only the current life of each.
+	 * @return the workers
+	 */
+	Map<String, Worker> workers() {
+		return this.workers;
+	}
+
+	Worker worker(String target, WorkerLife life) {
+		return this.workers.computeIfAbsent(target, (name) -> new Worker(name, life, steadyMillis()));
+	}
+
+	WriteAhead writeAhead() {
+		return this.writeAhead;
+	}
+
+	FleetConfiguration configuration() {
+		return this.configuration;
+	}
+
+	void configuration(FleetConfiguration next) {
+		if (next.revision() >= this.configuration.revision()) {
+			this.configuration = next;
+		}
+	}
+
+	Optional<JobQueue> queueOf(JobState job) {
+		return this.configuration.queue(job.workflow().queue());
+	}
+
+	Set<String> zonesOut() {
+		return this.zonesOut;
+	}
+
+	void zonesOut(Set<String> zones) {
+		this.zonesOut = Set.copyOf(zones);
+	}
+
+	/**
+	 * The epoch of this process's term.
+	 * @return the epoch, 0 while it may not decide
+	 */
+	long epoch() {
+		return this.epoch;
+	}
+
+	void beginTerm(long next) {
+		endTerm();
+		this.epoch = next;
+	}
+
+	void endTerm() {
+		this.epoch = 0;
+		this.jobs.clear();
+		this.workers.clear();
+		this.writeAhead.clear();
+	}
+
+	void now(Instant instant) {
+		this.now = instant;
+	}
+
+	long steadyMillis() {
+		return this.now.steadyMillis();
+	}
+
+	long wallMillis() {
+		return this.now.wallMillis();
+	}
+
+	void emit(WorkflowCommand command) {
+		this.commands.add(command);
+	}
+
+	void explain(String event, Object... keysAndValues) {
+		emit(WorkflowCommand.Explain.of(event, keysAndValues));
+	}
+
+	List<WorkflowCommand> commands() {
+		return this.commands;
+	}
+
+	List<WorkflowCommand> takeCommands() {
+		List<WorkflowCommand> taken = this.commands;
+		this.commands = new ArrayList<>();
+		return taken;
+	}
+
+	/**
+	 * Whether a worker may be given something new now.
+	 * @param worker the worker
+	 * @return whether it is known, heard of lately, in a zone that is in service and not
+	 * leaving
+	 */
+	boolean mayStartOn(Worker worker) {
+		return worker.description().isPresent() && !worker.lapsed() && !worker.draining()
+				&& worker.epoch() >= this.epoch
+				&& steadyMillis() - worker.lastHeardMillis() <= this.policy.usableSilenceMillis()
+				&& !this.zonesOut.contains(worker.zone()) && worker.health().usable(steadyMillis());
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/StepState.java
@@ -0,0 +1,137 @@
+package org.almondmount.workflow.impl;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.almondmount.workflow.JobRecord.StepKey;
+import org.almondmount.workflow.Step;
+
+/**
+ * A step of one occurrence of a job. Mutable; owned by the scheduler.
+ */
+final class StepState {
+
+	private final JobState job;
+
+	private final StepKey key;
+
+	private final Step spec;
+
+	private final List<TaskState> tasks;
+
+	private boolean done;
+
+	private int failedRun;
+
+	private long notBeforeMillis = Long.MIN_VALUE;
+
+	StepState(JobState job, StepKey key, Step spec) {
+		this.job = job;
+		this.key = key;
+		this.spec = spec;
+		this.tasks = new ArrayList<>(spec.count());
+		for (int index = 0; index < spec.count(); index++) {
+			this.tasks.add(new TaskState(this, index));
+		}
+	}
+
+	JobState job() {
+		return this.job;
+	}
+
+	StepKey key() {
+		return this.key;
+	}
+
+	int occurrence() {
+		return this.key.occurrence();
+	}
+
+	int number() {
+		return this.key.step();
+	}
+
+	Step spec() {
+		return this.spec;
+	}
+
+	List<TaskState> tasks() {
+		return this.tasks;
+	}
+
+	boolean done() {
+		return this.done;
+	}
+
+	// The end of any member of a gang stands for all of them.
+	void taskDone(TaskState task) {
+		task.markDone();
+		if (this.spec.gang()) {
+			this.tasks.forEach(TaskState::markDone);
+		}
+		this.done = this.tasks.stream().allMatch(TaskState::done);
+	}
+
+	void restoreDone() {
+		this.tasks.forEach(TaskState::markDone);
+		this.done = true;
+	}
+
+	/**
+	 * Counts a failure: of the task, or once for a run of the whole gang.
+	 * @param task the task
+	 * @param run the run that failed
+	 * @return the failures that count
+	 */
+	int countFailure(TaskState task, int run) {
+		if (!this.spec.gang()) {
+			task.failed();
+			return task.failures();
+		}
+		TaskState first = this.tasks.get(0);
+		if (this.failedRun != run) {
+			this.failedRun = run;
+			first.failed();
+		}
+		return first.failures();
+	}
+
+	/**
+	 * The last run of any of its tasks; the members of a gang share their numbers.
+	 * @return the number, 0 where nothing was run
+	 */
+	int lastRun() {
+		int last = 0;
+		for (TaskState task : this.tasks) {
+			last = Math.max(last, task.lastRun());
+		}
+		return last;
+	}
+
+	/**
+	 * The checkpoint from which a gang goes on: the one of any member is good for all.
+	 * @return the checkpoint, or empty
+	 */
+	String gangCheckpoint() {
+		String best = "";
+		for (TaskState task : this.tasks) {
+			if (task.checkpoint().compareTo(best) > 0) {
+				best = task.checkpoint();
+			}
+		}
+		return best;
+	}
+
+	boolean allIdle() {
+		return this.tasks.stream().allMatch(TaskState::idle);
+	}
+
+	long notBeforeMillis() {
+		return this.notBeforeMillis;
+	}
+
+	void notBefore(long millis) {
+		this.notBeforeMillis = Math.max(this.notBeforeMillis, millis);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkUnit.java
@@ -0,0 +1,36 @@
+package org.almondmount.workflow.impl;
+
+import java.util.List;
+
+import org.almondmount.workflow.JobQueue;
+import org.almondmount.workflow.ResourceAmount;
+
+/**
+ * What is placed at once: one task, or all tasks of a gang. Immutable, made anew for each
+ * round of placing.
+ *
+ * @param queue the queue of its job
+ * @param step its step
+ * @param tasks its tasks
+ * @param dueMillis since when it could have run, in milliseconds since 1970
+ * @param guaranteed whether it belongs to its customer's guarantee
+ */
+record WorkUnit(JobQueue queue, StepState step, List<TaskState> tasks, long dueMillis, boolean guaranteed) {
+
+	boolean gang() {
+		return this.step.spec().gang();
+	}
+
+	ResourceAmount demand() {
+		return this.step.spec().demand();
+	}
+
+	/**
+	 * Whether it runs fast only within one rack.
+	 * @return whether it does
+	 */
+	boolean wantsOneRack() {
+		return gang() && this.tasks.size() > 1 && this.step.spec().placement().sameRack();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/Worker.java
@@ -0,0 +1,132 @@
+package org.almondmount.workflow.impl;
+
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.WorkerDescription;
+import org.almondmount.workflow.WorkerLife;
+
+/**
+ * One life of a worker, with the runs that may be at work there. Mutable; owned by the
+ * scheduler.
+ */
+final class Worker {
+
+	private final String target;
+
+	private final WorkerLife life;
+
+	private final Set<Run> runs = new LinkedHashSet<>();
+
+	private final WorkerHealth health = new WorkerHealth();
+
+	private Optional<WorkerDescription> description = Optional.empty();
+
+	private ResourceAmount used = ResourceAmount.NONE;
+
+	private long lastHeardMillis;
+
+	private long seenEnd;
+
+	private long epoch;
+
+	private boolean lapsed;
+
+	Worker(String target, WorkerLife life, long heardMillis) {
+		this.target = target;
+		this.life = life;
+		this.lastHeardMillis = heardMillis;
+	}
+
+	String target() {
+		return this.target;
+	}
+
+	WorkerLife life() {
+		return this.life;
+	}
+
+	Optional<WorkerDescription> description() {
+		return this.description;
+	}
+
+	void describe(WorkerDescription said) {
+		this.description = Optional.of(said);
+	}
+
+	String rack() {
+		return this.description.map(WorkerDescription::rack).orElse("");
+	}
+
+	String zone() {
+		return this.description.map(WorkerDescription::zone).orElse("");
+	}
+
+	boolean draining() {
+		return this.description.map(WorkerDescription::draining).orElse(false);
+	}
+
+	ResourceAmount capacity() {
+		return this.description.map(WorkerDescription::capacity).orElse(ResourceAmount.NONE);
+	}
+
+	ResourceAmount free() {
+		return capacity().minus(this.used);
+	}
+
+	Set<Run> runs() {
+		return this.runs;
+	}
+
+	void add(Run run) {
+		if (this.runs.add(run)) {
+			this.used = this.used.plus(run.demand());
+		}
+	}
+
+	void remove(Run run) {
+		if (this.runs.remove(run)) {
+			this.used = this.used.minus(run.demand());
+		}
+	}
+
+	WorkerHealth health() {
+		return this.health;
+	}
+
+	long lastHeardMillis() {
+		return this.lastHeardMillis;
+	}
+
+	void heard(long now) {
+		this.lastHeardMillis = now;
+		this.lapsed = false;
+	}
+
+	boolean lapsed() {
+		return this.lapsed;
+	}
+
+	void lapse() {
+		this.lapsed = true;
+	}
+
+	long seenEnd() {
+		return this.seenEnd;
+	}
+
+	void seenEnd(long number) {
+		this.seenEnd = Math.max(this.seenEnd, number);
+	}
+
+	long epoch() {
+		return this.epoch;
+	}
+
+	void obeys(long highest) {
+		this.epoch = Math.max(this.epoch, highest);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
@@ -0,0 +1,175 @@
+package org.almondmount.workflow.impl;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.almondmount.workflow.RunEnding;
+import org.almondmount.workflow.TaskId;
+import org.almondmount.workflow.WorkerLife;
+import org.almondmount.workflow.WorkerReport;
+import org.almondmount.workflow.WorkflowCommand;
+
+/**
+ * Draws conclusions from what is heard, and not heard, of workers. Owned by the
+ * scheduler.
+ */
+final class WorkerReports {
+
+	private final SchedulerState state;
+
+	private final RunLedger ledger;
+
+	WorkerReports(SchedulerState state, RunLedger ledger) {
+		this.state = state;
+		this.ledger = ledger;
+	}
+
+	void heard(String target) {
+		Worker worker = this.state.workers().get(target);
+		if (worker != null) {
+			worker.heard(this.state.steadyMillis());
+		}
+	}
+
+	void read(WorkerReport report) {
+		Worker worker = currentLife(report);
+		boolean wasDraining = worker.draining();
+		worker.describe(report.worker());
+		worker.obeys(report.epoch());
+		if (worker.draining() && !wasDraining) {
+			this.state.explain("worker-draining", "worker", worker.target(), "life", worker.life(), "remainingMillis",
+					report.worker().remainingMillis());
+		}
+		for (WorkerReport.Running running : report.running()) {
+			running(worker, running);
+		}
+		ended(worker, report.ended());
+		if (report.epoch() >= this.state.epoch()) {
+			settleInherited(worker, report);
+		}
+	}
+
+	void refused(String target, TaskId task, int number, String why) {
+		Worker worker = this.state.workers().get(target);
+		if (worker == null) {
+			return;
+		}
+		find(worker, task, number).ifPresent((run) -> {
+			if (!run.stopping()) {
+				worker.health().restUntil(this.state.steadyMillis() + this.state.policy().refusalPauseMillis());
+			}
+			this.state.explain("run-refused", "task", task, "run", number, "worker", target, "why", why);
+			this.ledger.close(run, RunEnding.LOST, "");
+		});
+	}
+
+	/** Gives up what ran where the lease has run out, and repeats unanswered orders. */
+	void timePassed() {
+		long now = this.state.steadyMillis();
+		for (Worker worker : List.copyOf(this.state.workers().values())) {
+			if (!worker.lapsed() && now - worker.lastHeardMillis() > this.state.policy().lapsedAfterMillis()) {
+				lapse(worker);
+			}
+			for (Run run : List.copyOf(worker.runs())) {
+				repeatOrder(now, run);
+			}
+		}
+	}
+
+	private void lapse(Worker worker) {
+		worker.lapse();
+		this.state.explain("worker-lapsed", "worker", worker.target(), "life", worker.life(), "silentMillis",
+				this.state.steadyMillis() - worker.lastHeardMillis(), "runs", worker.runs().size());
+		closeAll(worker);
+	}
+
+	private void closeAll(Worker worker) {
+		List.copyOf(worker.runs()).forEach((run) -> this.ledger.close(run, RunEnding.LOST, ""));
+	}
+
+	private void repeatOrder(long now, Run run) {
+		boolean due = now - run.lastOrderMillis() >= this.state.policy().orderRetryMillis();
+		if (!due || run.worker().lapsed()) {
+			return;
+		}
+		if (run.stopping() && run.state() != Run.State.KEEPING) {
+			this.ledger.orderStop(run);
+		}
+		else if (run.state() == Run.State.ORDERED) {
+			this.ledger.orderStart(run);
+		}
+	}
+
+	private Worker currentLife(WorkerReport report) {
+		WorkerLife life = report.worker().life();
+		Worker known = this.state.workers().get(report.target());
+		if (known != null && known.life().equals(life)) {
+			known.heard(this.state.steadyMillis());
+			return known;
+		}
+		if (known != null) {
+			this.state.explain("worker-reborn", "worker", known.target(), "life", life, "before", known.life());
+			closeAll(known);
+			this.state.workers().remove(known.target());
+		}
+		this.state.explain("worker-known", "worker", report.target(), "life", life, "zone", report.worker().zone(),
+				"rack", report.worker().rack(), "capacity", report.worker().capacity());
+		return this.state.worker(report.target(), life);
+	}
+
+	private void running(Worker worker, WorkerReport.Running running) {
+		Optional<Run> known = find(worker, running.task(), running.run());
+		if (known.isEmpty()) {
+			this.state.explain("run-unwanted", "task", running.task(), "run", running.run(), "worker", worker.target());
+			this.state.emit(new WorkflowCommand.StopRun(worker.target(), worker.life(), running.task(), running.run()));
+			return;
+		}
+		known.get().seenRunning(this.state.steadyMillis(), running.percent());
+		known.get().task().checkpoint(running.checkpoint());
+	}
+
+	private void ended(Worker worker, List<WorkerReport.Ended> ends) {
+		long before = worker.seenEnd();
+		for (WorkerReport.Ended end : ends) {
+			if (end.number() <= before) {
+				continue;
+			}
+			worker.seenEnd(end.number());
+			find(worker, end.task(), end.run()).ifPresent((run) -> this.ledger.close(run, end.how(), end.checkpoint()));
+		}
+		long upTo = worker.seenEnd();
+		if (upTo > before) {
+			this.state.writeAhead()
+				.afterKept(() -> this.state
+					.emit(new WorkflowCommand.AcknowledgeEnds(worker.target(), worker.life(), upTo)));
+		}
+	}
+
+	// What an earlier term ordered and the worker neither runs nor lists as ended was
+	// never
+	// begun: the worker obeys this epoch now and refuses whatever still comes of an
+	// earlier
+	// one. Only the order to stop it settles that for certain.
+	private void settleInherited(Worker worker, WorkerReport report) {
+		Set<String> running = new HashSet<>();
+		report.running().forEach((run) -> running.add(run.task() + "/" + run.run()));
+		for (Run run : List.copyOf(worker.runs())) {
+			boolean absent = !running.contains(run.task().id() + "/" + run.number());
+			if (run.state() == Run.State.INHERITED && absent) {
+				this.ledger.stop(run);
+			}
+		}
+	}
+
+	private Optional<Run> find(Worker worker, TaskId id, int number) {
+		JobState job = this.state.jobs().get(id.job());
+		StepState step = (job != null) ? job.step(id.occurrence(), id.step()) : null;
+		if (step == null || id.index() < 0 || id.index() >= step.tasks().size()) {
+			return Optional.empty();
+		}
+		return step.tasks().get(id.index()).openRun(number).filter((run) -> run.worker() == worker);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The decisions behind {@link org.almondmount.workflow.WorkflowScheduler}.
+ */
+package org.almondmount.workflow.impl;
--- a/daemon/src/main/java/org/almondmount/daemon/cli/TargetCommand.java
+++ b/daemon/src/main/java/org/almondmount/daemon/cli/TargetCommand.java
@@ -6,7 +6,7 @@
 import org.almondmount.daemon.target.TargetDaemon;
 import org.almondmount.http.impl.NettyHttpClient;
 import org.almondmount.net.IoThreads;
-import org.almondmount.platform.impl.HttpWorkerClient;
+import org.almondmount.services.impl.HttpWorkerClient;
 import org.almondmount.settings.SettingsFault;
 import org.almondmount.settings.TargetSettings;
 import org.almondmount.settings.impl.SettingsReader;
--- a/daemon/src/main/java/org/almondmount/daemon/entry/EntryDaemonFactory.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/EntryDaemonFactory.java
@@ -4,9 +4,9 @@
 import org.almondmount.http.HttpClient;
 import org.almondmount.http.impl.NettyHttpClient;
 import org.almondmount.net.IoThreads;
-import org.almondmount.platform.TableOptions;
-import org.almondmount.platform.TableService;
-import org.almondmount.platform.impl.HttpTableService;
+import org.almondmount.services.TableOptions;
+import org.almondmount.services.TableService;
+import org.almondmount.services.impl.HttpTableService;
 import org.almondmount.settings.EntrySettings;
 import org.almondmount.telemetry.Telemetry;
 
--- a/daemon/src/main/java/org/almondmount/daemon/entry/EntryRuntime.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/EntryRuntime.java
@@ -2,7 +2,7 @@
 
 import org.almondmount.daemon.entry.shell.MonotonicClock;
 import org.almondmount.net.IoThreads;
-import org.almondmount.platform.TableService;
+import org.almondmount.services.TableService;
 import org.almondmount.telemetry.Telemetry;
 
 /**
--- a/daemon/src/main/java/org/almondmount/daemon/entry/api/EntryHttp.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/api/EntryHttp.java
@@ -16,6 +16,7 @@
 import org.almondmount.model.Refusal;
 import org.almondmount.model.RefusalReason;
 import org.almondmount.telemetry.EventLog;
+import org.almondmount.telemetry.MetricsDocument;
 import org.almondmount.telemetry.Telemetry;
 
 /**
--- a/daemon/src/main/java/org/almondmount/daemon/entry/calls/KeyLedger.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/calls/KeyLedger.java
@@ -13,13 +13,13 @@
 import org.almondmount.daemon.entry.store.StoreOperation;
 import org.almondmount.daemon.entry.store.StoreWriter;
 import org.almondmount.model.RequestId;
-import org.almondmount.platform.TableService;
-import org.almondmount.platform.TableService.CommitResult;
-import org.almondmount.platform.TableService.Condition;
-import org.almondmount.platform.TableService.ReadResult;
-import org.almondmount.platform.TableService.Row;
-import org.almondmount.platform.TableService.Write;
 import org.almondmount.requests.RequestEvent.KeyDecision;
+import org.almondmount.services.TableService;
+import org.almondmount.services.TableService.CommitResult;
+import org.almondmount.services.TableService.Condition;
+import org.almondmount.services.TableService.ReadResult;
+import org.almondmount.services.TableService.Row;
+import org.almondmount.services.TableService.Write;
 import org.almondmount.telemetry.EventLog;
 
 /**
--- a/daemon/src/main/java/org/almondmount/daemon/entry/control/ConfigurationDriver.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/control/ConfigurationDriver.java
@@ -14,8 +14,8 @@
 import org.almondmount.daemon.entry.store.Keys;
 import org.almondmount.daemon.entry.store.Rows.ConfigurationRow;
 import org.almondmount.model.Configuration;
-import org.almondmount.platform.TableService.ReadResult;
-import org.almondmount.platform.TableService.Row;
+import org.almondmount.services.TableService.ReadResult;
+import org.almondmount.services.TableService.Row;
 import org.almondmount.telemetry.EventLog;
 
 /**
--- a/daemon/src/main/java/org/almondmount/daemon/entry/control/EntryRows.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/control/EntryRows.java
@@ -12,11 +12,11 @@
 import org.almondmount.daemon.entry.store.Keys;
 import org.almondmount.daemon.entry.store.Rows.EntryRow;
 import org.almondmount.membership.EntryDirectory;
-import org.almondmount.platform.TableService.Condition;
-import org.almondmount.platform.TableService.ReadResult;
-import org.almondmount.platform.TableService.Row;
-import org.almondmount.platform.TableService.Transaction;
-import org.almondmount.platform.TableService.Write;
+import org.almondmount.services.TableService.Condition;
+import org.almondmount.services.TableService.ReadResult;
+import org.almondmount.services.TableService.Row;
+import org.almondmount.services.TableService.Transaction;
+import org.almondmount.services.TableService.Write;
 import org.almondmount.telemetry.EventLog;
 
 /**
--- a/daemon/src/main/java/org/almondmount/daemon/entry/control/JobStore.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/control/JobStore.java
@@ -16,9 +16,9 @@
 import org.almondmount.jobs.JobCommand;
 import org.almondmount.jobs.JobEvent;
 import org.almondmount.model.JobId;
-import org.almondmount.platform.TableService.CommitResult;
-import org.almondmount.platform.TableService.Condition;
-import org.almondmount.platform.TableService.Write;
+import org.almondmount.services.TableService.CommitResult;
+import org.almondmount.services.TableService.Condition;
+import org.almondmount.services.TableService.Write;
 
 /**
  * The jobs' rows during one term as holder. Every write is on the condition that nobody
--- a/daemon/src/main/java/org/almondmount/daemon/entry/control/LeaseDriver.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/control/LeaseDriver.java
@@ -19,12 +19,12 @@
 import org.almondmount.lease.LeaseSettings;
 import org.almondmount.lease.impl.ObservedLeaseKeeper;
 import org.almondmount.model.EntryId;
-import org.almondmount.platform.TableService.CommitResult;
-import org.almondmount.platform.TableService.Condition;
-import org.almondmount.platform.TableService.ReadResult;
-import org.almondmount.platform.TableService.Row;
-import org.almondmount.platform.TableService.Transaction;
-import org.almondmount.platform.TableService.Write;
+import org.almondmount.services.TableService.CommitResult;
+import org.almondmount.services.TableService.Condition;
+import org.almondmount.services.TableService.ReadResult;
+import org.almondmount.services.TableService.Row;
+import org.almondmount.services.TableService.Transaction;
+import org.almondmount.services.TableService.Write;
 import org.almondmount.telemetry.EventLog;
 
 /**
--- a/daemon/src/main/java/org/almondmount/daemon/entry/control/PlanDesk.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/control/PlanDesk.java
@@ -26,11 +26,11 @@
 import org.almondmount.plan.Intent;
 import org.almondmount.plan.Plan;
 import org.almondmount.plan.PlanEffects;
-import org.almondmount.platform.TableService.CommitResult;
-import org.almondmount.platform.TableService.Condition;
-import org.almondmount.platform.TableService.ReadResult;
-import org.almondmount.platform.TableService.Row;
-import org.almondmount.platform.TableService.Write;
+import org.almondmount.services.TableService.CommitResult;
+import org.almondmount.services.TableService.Condition;
+import org.almondmount.services.TableService.ReadResult;
+import org.almondmount.services.TableService.Row;
+import org.almondmount.services.TableService.Write;
 import org.almondmount.telemetry.EventLog;
 
 /**
--- a/daemon/src/main/java/org/almondmount/daemon/entry/control/Submission.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/control/Submission.java
@@ -12,8 +12,8 @@
 import org.almondmount.model.JobId;
 import org.almondmount.model.JobSpec;
 import org.almondmount.model.RequestId;
-import org.almondmount.platform.TableService.Condition;
-import org.almondmount.platform.TableService.Write;
+import org.almondmount.services.TableService.Condition;
+import org.almondmount.services.TableService.Write;
 
 /**
  * A job that was submitted and whose acceptance is not yet in the table. Immutable.
--- a/daemon/src/main/java/org/almondmount/daemon/entry/control/Submissions.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/control/Submissions.java
@@ -9,10 +9,10 @@
 import org.almondmount.http.HttpAnswer;
 import org.almondmount.model.Refusal;
 import org.almondmount.model.RefusalReason;
-import org.almondmount.platform.TableService;
-import org.almondmount.platform.TableService.CommitResult;
-import org.almondmount.platform.TableService.ReadResult;
-import org.almondmount.platform.TableService.Row;
+import org.almondmount.services.TableService;
+import org.almondmount.services.TableService.CommitResult;
+import org.almondmount.services.TableService.ReadResult;
+import org.almondmount.services.TableService.Row;
 
 /**
  * Answers those who submitted jobs. Owned by the control duty.
--- a/daemon/src/main/java/org/almondmount/daemon/entry/control/TermKeeper.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/control/TermKeeper.java
@@ -17,9 +17,9 @@
 import org.almondmount.daemon.entry.store.Rows.JobRow;
 import org.almondmount.model.Configuration;
 import org.almondmount.model.JobId;
-import org.almondmount.platform.TableService.Condition;
-import org.almondmount.platform.TableService.ReadResult;
-import org.almondmount.platform.TableService.Row;
+import org.almondmount.services.TableService.Condition;
+import org.almondmount.services.TableService.ReadResult;
+import org.almondmount.services.TableService.Row;
 import org.almondmount.telemetry.EventLog;
 
 /**
--- a/daemon/src/main/java/org/almondmount/daemon/entry/shell/EntryContext.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/shell/EntryContext.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 
 import org.almondmount.model.EntryId;
-import org.almondmount.platform.TableService;
+import org.almondmount.services.TableService;
 import org.almondmount.settings.EntrySettings;
 import org.almondmount.telemetry.Telemetry;
 
--- a/daemon/src/main/java/org/almondmount/daemon/entry/store/StoreBatch.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/store/StoreBatch.java
@@ -7,10 +7,10 @@
 import java.util.Map;
 import java.util.Set;
 
-import org.almondmount.platform.TableService.CommitResult;
-import org.almondmount.platform.TableService.Condition;
-import org.almondmount.platform.TableService.Transaction;
-import org.almondmount.platform.TableService.Write;
+import org.almondmount.services.TableService.CommitResult;
+import org.almondmount.services.TableService.Condition;
+import org.almondmount.services.TableService.Transaction;
+import org.almondmount.services.TableService.Write;
 
 /**
  * Operations that go in one transaction. Owned by the store's thread.
--- a/daemon/src/main/java/org/almondmount/daemon/entry/store/StoreOperation.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/store/StoreOperation.java
@@ -3,9 +3,9 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-import org.almondmount.platform.TableService.CommitResult;
-import org.almondmount.platform.TableService.Condition;
-import org.almondmount.platform.TableService.Write;
+import org.almondmount.services.TableService.CommitResult;
+import org.almondmount.services.TableService.Condition;
+import org.almondmount.services.TableService.Write;
 
 /**
  * Writes that belong together, on conditions. Immutable.
--- a/daemon/src/main/java/org/almondmount/daemon/entry/store/StoreWriter.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/store/StoreWriter.java
@@ -11,8 +11,8 @@
 import org.almondmount.daemon.entry.shell.Alarm;
 import org.almondmount.daemon.entry.shell.Mailbox;
 import org.almondmount.daemon.entry.shell.MonotonicClock;
-import org.almondmount.platform.TableService;
-import org.almondmount.platform.TableService.CommitResult;
+import org.almondmount.services.TableService;
+import org.almondmount.services.TableService.CommitResult;
 import org.almondmount.telemetry.Telemetry;
 
 /**
--- a/daemon/src/test/java/org/almondmount/daemon/entry/FakeTable.java
+++ b/daemon/src/test/java/org/almondmount/daemon/entry/FakeTable.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
 
-import org.almondmount.platform.TableService;
+import org.almondmount.services.TableService;
 
 /**
  * A table in memory with faults. Thread-safe.
--- /dev/null
+++ b/fleet/src/main/java/org/almondmount/fleet/codec/RecordCodec.java
@@ -0,0 +1,202 @@
+package org.almondmount.fleet.codec;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.almondmount.model.InvalidValueException;
+import org.almondmount.term.TermRow;
+import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.JobRecord;
+import org.almondmount.workflow.JobRecord.OpenRun;
+import org.almondmount.workflow.JobRecord.StepKey;
+import org.almondmount.workflow.JobRecord.TaskRecord;
+import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.Step;
+import org.almondmount.workflow.WorkerLife;
+import org.almondmount.workflow.Workflow;
+
+/**
+ * What is kept, as JSON text. Defaults are left out and progress is written as arrays:
+ * each write and read of the store is paid for by its size.
+ */
+public final class RecordCodec {
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private RecordCodec() {
+	}
+
+	public static String write(TermRow row) {
+		ObjectNode out = JSON.createObjectNode();
+		out.put("holder", row.holder()).put("address", row.address()).put("epoch", row.epoch());
+		out.put("commit", row.commit()).put("lengthMillis", row.lengthMillis()).put("released", row.released());
+		return out.toString();
+	}
+
+	/**
+	 * Reads the row of a term.
+	 * @param text what is kept
+	 * @return the row
+	 * @throws InvalidValueException where the text is none
+	 */
+	public static TermRow readTerm(String text) {
+		JsonNode in = parse("term", text);
+		return new TermRow(in.path("holder").asText(), in.path("address").asText(), in.path("epoch").asLong(),
+				in.path("commit").asLong(), in.path("lengthMillis").asLong(), in.path("released").asBoolean());
+	}
+
+	public static String write(Workflow job) {
+		ObjectNode out = JSON.createObjectNode();
+		out.put("id", job.id()).put("queue", job.queue()).put("customer", job.customer());
+		out.put("program", job.program()).put("acceptedAt", job.acceptedAtMillis());
+		if (job.schedule().timed()) {
+			ObjectNode schedule = out.putObject("schedule");
+			schedule.put("first", job.schedule().firstDueMillis()).put("interval", job.schedule().intervalMillis());
+			schedule.put("times", job.schedule().repetitions());
+		}
+		ArrayNode steps = out.putArray("steps");
+		job.steps().forEach((step) -> steps.add(step(step)));
+		return out.toString();
+	}
+
+	/**
+	 * Reads a job.
+	 * @param text what is kept
+	 * @return the job
+	 * @throws InvalidValueException where the text is none
+	 */
+	public static Workflow readWorkflow(String text) {
+		JsonNode in = parse("job", text);
+		JsonNode times = in.path("schedule");
+		Workflow.Schedule schedule = times.isMissingNode() ? Workflow.Schedule.ONCE : new Workflow.Schedule(
+				times.path("first").asLong(), times.path("interval").asLong(), times.path("times").asInt());
+		return new Workflow(in.path("id").asText(), in.path("queue").asText(), in.path("customer").asText(),
+				in.path("program").asText(), list(in.path("steps"), RecordCodec::readStep), schedule,
+				in.path("acceptedAt").asLong());
+	}
+
+	public static String write(JobRecord job) {
+		ObjectNode out = JSON.createObjectNode();
+		out.put("job", job.job()).put("phase", job.phase().name());
+		ArrayNode done = out.putArray("done");
+		job.doneSteps().forEach((key) -> done.addArray().add(key.occurrence()).add(key.step()));
+		ArrayNode tasks = out.putArray("tasks");
+		job.tasks().forEach((task) -> tasks.add(task(task)));
+		return out.toString();
+	}
+
+	/**
+	 * Reads the progress of a job.
+	 * @param text what is kept
+	 * @return the progress
+	 * @throws InvalidValueException where the text is none
+	 */
+	public static JobRecord readProgress(String text) {
+		JsonNode in = parse("progress", text);
+		return new JobRecord(in.path("job").asText(), JobPhase.valueOf(in.path("phase").asText()),
+				list(in.path("done"), (key) -> new StepKey(key.path(0).asInt(), key.path(1).asInt())),
+				list(in.path("tasks"), RecordCodec::readTask));
+	}
+
+	private static ObjectNode step(Step step) {
+		ObjectNode out = JSON.createObjectNode();
+		out.put("count", step.count());
+		out.putArray("demand")
+			.add(step.demand().cpuMillis())
+			.add(step.demand().memoryMb())
+			.add(step.demand().accelerators());
+		out.put("estimate", step.estimateMillis());
+		ArrayNode after = out.putArray("after");
+		step.after().forEach(after::add);
+		putTrue(out, "checkpoints", step.checkpoints());
+		putTrue(out, "gang", step.gang());
+		putTrue(out, "duplicates", step.duplicatesAllowed());
+		Step.Placement placement = step.placement();
+		if (!placement.equals(Step.Placement.ANYWHERE)) {
+			ObjectNode where = out.putObject("placement");
+			where.put("label", placement.requiredLabel()).put("dataRack", placement.dataRack());
+			where.put("sameRack", placement.sameRack()).put("mostPerWorker", placement.mostPerWorker());
+		}
+		Step.ServiceTerms service = step.service();
+		if (!service.equals(Step.ServiceTerms.NONE)) {
+			ObjectNode terms = out.putObject("service");
+			terms.put("lasting", service.lasting()).put("image", service.image());
+			terms.put("latencyTarget", service.latencyTargetMillis()).put("fillsIdle", service.fillsIdle());
+			terms.put("mayMiss", service.mayMiss());
+		}
+		return out;
+	}
+
+	private static Step readStep(JsonNode in) {
+		JsonNode demand = in.path("demand");
+		ResourceAmount amount = new ResourceAmount(demand.path(0).asLong(), demand.path(1).asLong(),
+				demand.path(2).asLong());
+		JsonNode where = in.path("placement");
+		Step.Placement placement = where.isMissingNode() ? Step.Placement.ANYWHERE
+				: new Step.Placement(where.path("label").asText(), where.path("dataRack").asText(),
+						where.path("sameRack").asBoolean(), where.path("mostPerWorker").asInt());
+		JsonNode terms = in.path("service");
+		Step.ServiceTerms service = terms.isMissingNode() ? Step.ServiceTerms.NONE
+				: new Step.ServiceTerms(terms.path("lasting").asBoolean(), terms.path("image").asText(),
+						terms.path("latencyTarget").asLong(), terms.path("fillsIdle").asBoolean(),
+						terms.path("mayMiss").asInt());
+		return new Step(in.path("count").asInt(), amount, in.path("estimate").asLong(),
+				list(in.path("after"), JsonNode::asInt), in.path("checkpoints").asBoolean(),
+				in.path("gang").asBoolean(), placement, in.path("duplicates").asBoolean(), service);
+	}
+
+	private static ArrayNode task(TaskRecord task) {
+		ArrayNode out = JSON.createArrayNode();
+		out.add(task.step().occurrence()).add(task.step().step()).add(task.index());
+		out.add(task.lastRun()).add(task.failures()).add(task.done() ? 1 : 0).add(task.checkpoint());
+		ArrayNode runs = out.addArray();
+		for (OpenRun run : task.openRuns()) {
+			runs.addArray()
+				.add(run.number())
+				.add(run.target())
+				.add(run.life().worker())
+				.add(run.life().bornMillis())
+				.add(run.epoch());
+		}
+		return out;
+	}
+
+	private static TaskRecord readTask(JsonNode in) {
+		StepKey step = new StepKey(in.path(0).asInt(), in.path(1).asInt());
+		return new TaskRecord(step, in.path(2).asInt(), in.path(3).asInt(), in.path(4).asInt(), in.path(5).asInt() == 1,
+				in.path(6).asText(), list(in.path(7), RecordCodec::readRun));
+	}
+
+	private static OpenRun readRun(JsonNode in) {
+		return new OpenRun(in.path(0).asInt(), in.path(1).asText(),
+				new WorkerLife(in.path(2).asText(), in.path(3).asLong()), in.path(4).asLong());
+	}
+
+	private static void putTrue(ObjectNode out, String field, boolean value) {
+		if (value) {
+			out.put(field, true);
+		}
+	}
+
+	private static <T> List<T> list(JsonNode array, Function<JsonNode, T> element) {
+		List<T> values = new ArrayList<>(array.size());
+		array.forEach((node) -> values.add(element.apply(node)));
+		return values;
+	}
+
+	private static JsonNode parse(String what, String text) {
+		try {
+			return JSON.readTree(text);
+		}
+		catch (JsonProcessingException ex) {
+			throw new InvalidValueException(what, "is no JSON; see who else writes to the store");
+		}
+	}
+
+}
--- /dev/null
+++ b/fleet/src/main/java/org/almondmount/fleet/codec/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What is kept, as text.
+ */
+package org.almondmount.fleet.codec;
--- /dev/null
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/DeclaredState.java
@@ -0,0 +1,208 @@
+package org.almondmount.fleet.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.almondmount.fleet.DeclarationReader;
+import org.almondmount.fleet.Loop;
+import org.almondmount.model.InvalidValueException;
+import org.almondmount.rows.RowStore;
+import org.almondmount.rows.RowStore.Place;
+import org.almondmount.rows.RowStore.Row;
+import org.almondmount.telemetry.EventLog;
+import org.almondmount.workflow.FleetConfiguration;
+
+/**
+ * What operators declare, followed through the store and, where the store turns this
+ * entry away, through its peers. Belongs to the loop's thread.
+ * <p>
+ * A row is only replaced by a newer version of it, so nothing that was in force goes back
+ * whichever way a change arrives.
+ */
+final class DeclaredState {
+
+	private static final EventLog LOG = EventLog.of(DeclaredState.class);
+
+	/** How long one question for changes stays open; each one is paid for. */
+	private static final Duration WAIT = Duration.ofSeconds(20);
+
+	private static final long RETRY_MILLIS = 250;
+
+	private static final int PAGE = 500;
+
+	private final RowStore store;
+
+	private final DeclarationReader reader;
+
+	private final Loop loop;
+
+	private final Consumer<DeclaredState> listener;
+
+	private final Map<String, Row> rows = new HashMap<>();
+
+	private FleetConfiguration configuration = FleetConfiguration.NONE;
+
+	private Set<String> zonesOut = Set.of();
+
+	private long version;
+
+	private long changedAt;
+
+	private boolean reachable = true;
+
+	DeclaredState(RowStore store, DeclarationReader reader, Loop loop, Consumer<DeclaredState> listener) {
+		this.store = store;
+		this.reader = reader;
+		this.loop = loop;
+		this.listener = listener;
+	}
+
+	void start() {
+		readAll("", new ArrayList<>(), Long.MAX_VALUE);
+	}
+
+	FleetConfiguration configuration() {
+		return this.configuration;
+	}
+
+	Set<String> zonesOut() {
+		return this.zonesOut;
+	}
+
+	/**
+	 * The newest version of any row.
+	 * @return the version, 0 where nothing is known
+	 */
+	long version() {
+		return this.version;
+	}
+
+	long changedAtMillis() {
+		return this.changedAt;
+	}
+
+	List<Row> newerThan(long known) {
+		return this.rows.values().stream().filter((row) -> row.version() > known).toList();
+	}
+
+	/**
+	 * Takes rows that a peer knows.
+	 * @param told the rows
+	 */
+	void told(List<Row> told) {
+		take(told, "peer");
+	}
+
+	private void readAll(String from, List<Row> found, long oldest) {
+		this.loop.then(this.store.read(this.reader.table(), from, PAGE), (read) -> {
+			if (!(read instanceof RowStore.Read.Found page)) {
+				unreachable(read.toString());
+				this.loop.after(RETRY_MILLIS, this::start);
+				return;
+			}
+			reachable();
+			found.addAll(page.rows());
+			long since = Math.min(oldest, page.version());
+			if (page.more() && !page.rows().isEmpty()) {
+				readAll(page.rows().get(page.rows().size() - 1).place().key() + "\0", found, since);
+				return;
+			}
+			dropMissing(found, since);
+			take(found, "read");
+			follow(since);
+		});
+	}
+
+	// What was deleted while nobody listened is not in the read. A row that is newer than
+	// the read came from a peer and stays.
+	private void dropMissing(List<Row> found, long since) {
+		Set<String> there = new HashSet<>();
+		found.forEach((row) -> there.add(row.place().key()));
+		List<Row> gone = new ArrayList<>();
+		for (Row known : this.rows.values()) {
+			if (known.version() <= since && !there.contains(known.place().key())) {
+				gone.add(new Row(known.place(), since, Optional.empty()));
+			}
+		}
+		take(gone, "read");
+	}
+
+	private void follow(long after) {
+		this.loop.then(this.store.changes(this.reader.table(), after, WAIT), (changes) -> {
+			if (changes instanceof RowStore.Changes.Found found) {
+				reachable();
+				take(found.rows(), "feed");
+				follow(Math.max(after, found.version()));
+			}
+			else if (changes instanceof RowStore.Changes.Forgotten) {
+				LOG.info("feed-forgotten", "after", after);
+				start();
+			}
+			else {
+				unreachable(changes.toString());
+				this.loop.after(RETRY_MILLIS, () -> follow(after));
+			}
+		});
+	}
+
+	private void take(List<Row> changes, String how) {
+		boolean changed = false;
+		for (Row row : changes) {
+			Row known = this.rows.get(row.place().key());
+			if (known == null || known.version() < row.version()) {
+				this.rows.put(row.place().key(), row);
+				this.version = Math.max(this.version, row.version());
+				changed = true;
+				LOG.info("declared", "key", row.place().key(), "version", row.version(), "present",
+						row.value().isPresent(), "through", how);
+			}
+		}
+		if (changed) {
+			this.changedAt = this.loop.steadyMillis();
+			interpret();
+		}
+	}
+
+	private void interpret() {
+		Map<String, String> present = new HashMap<>();
+		this.rows.forEach((key, row) -> row.value().ifPresent((value) -> present.put(key, value)));
+		try {
+			this.reader.configuration(present)
+				.filter((next) -> next.revision() >= this.configuration.revision())
+				.ifPresent((next) -> this.configuration = next);
+		}
+		catch (InvalidValueException ex) {
+			LOG.warn("declaration-unreadable", "kept", this.configuration.revision(), "why", ex.getMessage());
+		}
+		this.zonesOut = this.reader.zonesOut(present);
+		LOG.info("in-force", "revision", this.configuration.revision(), "queues", this.configuration.queues().size(),
+				"customers", this.configuration.customers().size(), "zonesOut", this.zonesOut);
+		this.listener.accept(this);
+	}
+
+	private void unreachable(String why) {
+		if (this.reachable) {
+			this.reachable = false;
+			LOG.warn("dependency-lost", "what", "store-feed", "why", why);
+		}
+	}
+
+	private void reachable() {
+		if (!this.reachable) {
+			this.reachable = true;
+			LOG.info("dependency-regained", "what", "store-feed");
+		}
+	}
+
+	static Row row(String table, String key, long version, Optional<String> value) {
+		return new Row(new Place(table, key), version, value);
+	}
+
+}
--- /dev/null
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -0,0 +1,426 @@
+package org.almondmount.fleet.entry;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
+
+import org.almondmount.fleet.Addresses;
+import org.almondmount.fleet.DeclarationReader;
+import org.almondmount.fleet.FleetSettings;
+import org.almondmount.fleet.JobAnswer;
+import org.almondmount.fleet.Loop;
+import org.almondmount.fleet.Submission;
+import org.almondmount.fleet.Tables;
+import org.almondmount.model.InvalidValueException;
+import org.almondmount.rows.RowStore;
+import org.almondmount.rows.RowStore.Row;
+import org.almondmount.rows.RowStore.Write;
+import org.almondmount.telemetry.EventLog;
+import org.almondmount.telemetry.Telemetry;
+import org.almondmount.term.TermRow;
+import org.almondmount.term.TermSettings;
+import org.almondmount.wire.CloseReason;
+import org.almondmount.wire.Message;
+import org.almondmount.wire.PeerConnection;
+import org.almondmount.wire.PeerInfo;
+import org.almondmount.wire.PeerListener;
+import org.almondmount.wire.WireEndpoint;
+import org.almondmount.workflow.FleetConfiguration;
+import org.almondmount.workflow.SchedulerPolicy;
+import org.almondmount.workflow.Workflow;
+import org.almondmount.workflow.impl.DefaultWorkflowScheduler;
+
+/**
+ * An entry for workflows: takes callers' jobs and questions and, while it holds the term,
+ * decides what runs where. Thread-safe.
+ */
+public final class FleetEntry implements AutoCloseable {
+
+	private static final EventLog LOG = EventLog.of(FleetEntry.class);
+
+	/** Tells another entry what operators declared. */
+	private static final String DECLARED = "declared";
+
+	private static final String VERSION = "version";
+
+	private static final String DELETED = "deleted";
+
+	private static final long HOLDER_WORD_MILLIS = 300;
+
+	/** Entries that do not hold the term speak at every third turn. */
+	private static final int QUIET_TURNS = 3;
+
+	/** A peer that lags for so long is told; before that its own feed will bring it. */
+	private static final long LAG_MILLIS = 400;
+
+	private static final long ENROL_RETRY_MILLIS = 300;
+
+	private static final long ENTRIES_MILLIS = 2_500;
+
+	private static final int MOST_ENTRIES = 500;
+
+	private final FleetSettings settings;
+
+	private final RowStore store;
+
+	private final WireEndpoint wire;
+
+	private final Loop loop = new Loop();
+
+	private final PeerInfo self;
+
+	private final PeerLinks peers;
+
+	private final TargetLinks targets;
+
+	private final TermDriver term;
+
+	private final HolderDesk holder;
+
+	private final FrontDesk desk;
+
+	private final DeclaredState declared;
+
+	private final CompletableFuture<Void> released = new CompletableFuture<>();
+
+	private volatile FleetConfiguration configuration = FleetConfiguration.NONE;
+
+	private volatile WireEndpoint.Listening listening;
+
+	private int turn;
+
+	/**
+	 * Makes an entry that does nothing before {@link #start()}.
+	 * @param settings its settings
+	 * @param store where rows lie
+	 * @param reader reads what operators declare
+	 * @param wire opens connections to peers
+	 * @param telemetry the process's metrics
+	 */
+	public FleetEntry(FleetSettings settings, RowStore store, DeclarationReader reader, WireEndpoint wire,
+			Telemetry telemetry) {
+		this.settings = settings;
+		this.store = store;
+		this.wire = wire;
+		String run = settings.name() + "-" + Long.toString(System.currentTimeMillis(), Character.MAX_RADIX);
+		this.self = new PeerInfo(PeerInfo.Role.ENTRY, run, settings.peerAddress(), settings.zone(), Optional.empty(), 0,
+				System.currentTimeMillis());
+		this.peers = new PeerLinks(settings.peerAddress(), this.loop, this::dial);
+		this.targets = new TargetLinks(this.peers::connectedAddresses);
+		this.term = new TermDriver(new TermSettings(run, settings.peerAddress(), settings.termLength().toMillis()),
+				store, this.loop, telemetry, this::writesOf, new TermListener());
+		this.holder = new HolderDesk(
+				new DefaultWorkflowScheduler(SchedulerPolicy.DEFAULT.withLeaseMillis(settings.lease().toMillis())),
+				store, this.loop, telemetry, this.term, this.targets, settings.lease().toMillis());
+		this.desk = new FrontDesk(store, this.loop, telemetry, this.holder, this.term, this.peers);
+		this.declared = new DeclaredState(store, reader, this.loop, this::inForce);
+		telemetry.gauge("term.epoch", this.term::epoch);
+	}
+
+	/**
+	 * Begins.
+	 * @return completes once peers can connect
+	 */
+	public CompletableFuture<Void> start() {
+		this.loop.start();
+		return this.wire.listen(this.settings.peers(), this.self, this.settings.peer(), new Listener())
+			.thenAccept((bound) -> {
+				this.listening = bound;
+				LOG.info("entry-started", "entry", this.self.name(), "zone", this.settings.zone(), "peers",
+						bound.address());
+				this.loop.run(this::begin);
+			});
+	}
+
+	/**
+	 * What operators declared, as far as this entry knows.
+	 * @return the newest configuration
+	 */
+	public FleetConfiguration configuration() {
+		return this.configuration;
+	}
+
+	/**
+	 * Accepts a job.
+	 * @param job the job
+	 * @param withinMillis after which its caller has to have an answer
+	 * @return what became of it
+	 */
+	public CompletableFuture<Submission> submit(Workflow job, long withinMillis) {
+		CompletableFuture<Submission> outcome = new CompletableFuture<>();
+		boolean taken = this.loop.run(() -> this.desk.submit(job, withinMillis, true).thenAccept(outcome::complete));
+		if (!taken) {
+			outcome.complete(Submission.REFUSED);
+		}
+		return outcome;
+	}
+
+	/**
+	 * Says where a job stands.
+	 * @param job the job
+	 * @param withinMillis after which its caller has to have an answer
+	 * @return where it stands
+	 */
+	public CompletableFuture<JobAnswer> phase(String job, long withinMillis) {
+		CompletableFuture<JobAnswer> outcome = new CompletableFuture<>();
+		if (!this.loop.run(() -> this.desk.phase(job, withinMillis).thenAccept(outcome::complete))) {
+			outcome.complete(new JobAnswer.Unavailable());
+		}
+		return outcome;
+	}
+
+	/**
+	 * Cancels a job.
+	 * @param job the job
+	 * @param withinMillis after which its caller has to have an answer
+	 * @return known where the cancel is kept
+	 */
+	public CompletableFuture<JobAnswer> cancel(String job, long withinMillis) {
+		CompletableFuture<JobAnswer> outcome = new CompletableFuture<>();
+		if (!this.loop.run(() -> this.desk.cancel(job, withinMillis).thenAccept(outcome::complete))) {
+			outcome.complete(new JobAnswer.Unavailable());
+		}
+		return outcome;
+	}
+
+	/**
+	 * Counts the jobs of a queue none of whose tasks has started.
+	 * @param queue the queue
+	 * @return the count, or empty where the holder does not answer
+	 */
+	public CompletableFuture<OptionalInt> waiting(String queue) {
+		CompletableFuture<OptionalInt> outcome = new CompletableFuture<>();
+		if (!this.loop.run(() -> this.desk.waiting(queue).thenAccept(outcome::complete))) {
+			outcome.complete(OptionalInt.empty());
+		}
+		return outcome;
+	}
+
+	/**
+	 * Gives the term up, so that another entry can take it at once.
+	 * @return completes when it is given up or was not held
+	 */
+	public CompletableFuture<Void> release() {
+		this.loop.run(this.term::release);
+		return this.released;
+	}
+
+	@Override
+	public void close() {
+		if (this.listening != null) {
+			this.listening.close();
+		}
+		this.loop.close();
+	}
+
+	private void begin() {
+		this.declared.start();
+		this.term.start();
+		this.holder.start();
+		enrol();
+		this.loop.every(HOLDER_WORD_MILLIS, this::speak);
+		this.loop.every(ENTRIES_MILLIS, this::learnEntriesWhenAlone);
+	}
+
+	private List<Write> writesOf(long sequence) {
+		return this.holder.writesOf(sequence);
+	}
+
+	private void enrol() {
+		Write row = new Write(new RowStore.Place(Tables.ENTRIES, this.settings.name()),
+				Optional.of(this.settings.peerAddress()));
+		this.loop.then(this.store.commit(List.of(), List.of(row)), (ending) -> {
+			if (ending instanceof RowStore.Commit.Committed) {
+				learnEntries();
+				return;
+			}
+			this.loop.after(ENROL_RETRY_MILLIS, this::enrol);
+		});
+	}
+
+	private void learnEntriesWhenAlone() {
+		if (this.peers.connectedAddresses().size() <= 1) {
+			learnEntries();
+		}
+	}
+
+	private void learnEntries() {
+		this.loop.then(this.store.read(Tables.ENTRIES, "", MOST_ENTRIES), (read) -> {
+			if (read instanceof RowStore.Read.Found found) {
+				found.rows().forEach((row) -> row.value().ifPresent(this.peers::known));
+			}
+		});
+	}
+
+	private void speak() {
+		this.turn++;
+		boolean holds = this.term.mayDecide();
+		if (holds || this.turn % QUIET_TURNS == 0) {
+			this.peers
+				.broadcast(new Message.EntryHeartbeat(this.turn, this.declared.version(), this.term.epoch(), holds));
+		}
+	}
+
+	private void inForce(DeclaredState state) {
+		this.configuration = state.configuration();
+		this.holder.declared(state.configuration(), state.zonesOut());
+	}
+
+	private void dial(String address) {
+		try {
+			this.wire.dial(Addresses.parse(address), this.self, this.settings.peer(), new Listener())
+				.whenComplete((connection, failure) -> {
+					if (failure != null) {
+						this.loop.run(() -> this.peers.dialFailed(address));
+					}
+				});
+		}
+		catch (InvalidValueException ex) {
+			LOG.warn("entry-row-unreadable", "why", ex.getMessage());
+		}
+	}
+
+	private void opened(PeerConnection connection) {
+		LOG.info("peer-connected", "peer", connection.peer().name(), "role", connection.peer().role());
+		if (connection.peer().role() == PeerInfo.Role.TARGET) {
+			this.targets.opened(connection);
+			return;
+		}
+		this.peers.opened(connection);
+		boolean holds = this.term.mayDecide();
+		connection.send(new Message.EntryHeartbeat(0, this.declared.version(), this.term.epoch(), holds));
+	}
+
+	private void closed(PeerConnection connection, CloseReason reason) {
+		LOG.info("peer-lost", "peer", connection.peer().name(), "reason", reason.word());
+		if (connection.peer().role() == PeerInfo.Role.TARGET) {
+			this.targets.closed(connection);
+			return;
+		}
+		this.peers.closed(connection);
+	}
+
+	private void received(PeerConnection connection, Message message) {
+		if (connection.peer().role() == PeerInfo.Role.TARGET) {
+			if (this.targets.isCurrent(connection)) {
+				this.holder.heard(connection.peer().name(), message);
+			}
+			return;
+		}
+		if (message instanceof Message.EntryHeartbeat word) {
+			if (word.holder()) {
+				this.term.holderHeard(word.epoch());
+			}
+			tellDeclared(connection, word.revision());
+		}
+		else if (message instanceof Message.Forward call) {
+			forwarded(connection, call);
+		}
+		else if (message instanceof Message.ForwardAnswer answer) {
+			this.peers.answered(answer);
+		}
+	}
+
+	private void forwarded(PeerConnection connection, Message.Forward call) {
+		if (call.method().equals(DECLARED)) {
+			Optional<String> value = call.headers().containsKey(DELETED) ? Optional.empty()
+					: Optional.of(new String(call.body(), StandardCharsets.UTF_8));
+			this.declared
+				.told(List.of(DeclaredState.row("", call.path(), Long.parseLong(call.headers().get(VERSION)), value)));
+			return;
+		}
+		this.desk.asked(call)
+			.thenAccept((answer) -> connection.send(new Message.ForwardAnswer(call.id(), answer.status(), Map.of(),
+					answer.body().getBytes(StandardCharsets.UTF_8))));
+	}
+
+	private void tellDeclared(PeerConnection connection, long known) {
+		boolean settled = this.loop.steadyMillis() - this.declared.changedAtMillis() >= LAG_MILLIS;
+		if (known >= this.declared.version() || !settled) {
+			return;
+		}
+		for (Row row : this.declared.newerThan(known)) {
+			Map<String, String> headers = row.value().isPresent() ? Map.of(VERSION, Long.toString(row.version()))
+					: Map.of(VERSION, Long.toString(row.version()), DELETED, "true");
+			connection.send(new Message.Forward(0, "", DECLARED, row.place().key(),
+					row.value().orElse("").getBytes(StandardCharsets.UTF_8), headers));
+		}
+	}
+
+	/**
+	 * Where this entry accepts peers.
+	 * @return the bound address, after {@link #start()}
+	 */
+	public InetSocketAddress peersAddress() {
+		return this.listening.address();
+	}
+
+	/**
+	 * Hands what happens with the term to the parts that it concerns.
+	 */
+	private final class TermListener implements TermDriver.Listener {
+
+		@Override
+		public void began(long epoch) {
+			FleetEntry.this.holder.termBegan(epoch);
+			speakAtOnce();
+		}
+
+		@Override
+		public void ended() {
+			FleetEntry.this.holder.termEnded();
+		}
+
+		@Override
+		public void saved(long sequence) {
+			FleetEntry.this.holder.saved(sequence);
+		}
+
+		@Override
+		public void holderSeen(TermRow row) {
+			FleetEntry.this.peers.known(row.address());
+			FleetEntry.this.targets.holderSeen(row);
+		}
+
+		@Override
+		public void released() {
+			FleetEntry.this.released.complete(null);
+		}
+
+		private void speakAtOnce() {
+			FleetEntry entry = FleetEntry.this;
+			entry.peers.broadcast(new Message.EntryHeartbeat(entry.turn, entry.declared.version(), entry.term.epoch(),
+					entry.term.mayDecide()));
+		}
+
+	}
+
+	/**
+	 * Hands what happens on connections to the loop.
+	 */
+	private final class Listener implements PeerListener {
+
+		@Override
+		public void opened(PeerConnection connection) {
+			FleetEntry.this.loop.run(() -> FleetEntry.this.opened(connection));
+		}
+
+		@Override
+		public void received(PeerConnection connection, Message message) {
+			if (!FleetEntry.this.loop.run(() -> FleetEntry.this.received(connection, message))) {
+				connection.close(CloseReason.LOCAL);
+			}
+		}
+
+		@Override
+		public void closed(PeerConnection connection, CloseReason reason) {
+			FleetEntry.this.loop.run(() -> FleetEntry.this.closed(connection, reason));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -0,0 +1,336 @@
+package org.almondmount.fleet.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.almondmount.fleet.Loop;
+import org.almondmount.fleet.Tables;
+import org.almondmount.fleet.codec.RecordCodec;
+import org.almondmount.model.InvalidValueException;
+import org.almondmount.rows.RowStore;
+import org.almondmount.rows.RowStore.Row;
+import org.almondmount.rows.RowStore.Write;
+import org.almondmount.telemetry.EventLog;
+import org.almondmount.telemetry.Telemetry;
+import org.almondmount.wire.Message;
+import org.almondmount.workflow.FleetConfiguration;
+import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.JobRecord;
+import org.almondmount.workflow.Workflow;
+import org.almondmount.workflow.WorkflowCommand;
+import org.almondmount.workflow.WorkflowEvent;
+import org.almondmount.workflow.WorkflowEvent.KeptJob;
+import org.almondmount.workflow.WorkflowScheduler;
+
+/**
+ * Drives the scheduler while this entry holds the term: reads what is kept, keeps what it
+ * decides and carries its orders to targets. Belongs to the loop's thread.
+ */
+final class HolderDesk {
+
+	private static final EventLog LOG = EventLog.of(HolderDesk.class);
+
+	private static final int PAGE = 500;
+
+	private static final long TICK_MILLIS = 50;
+
+	private static final long RELOAD_MILLIS = 100;
+
+	/**
+	 * How often jobs are looked for whose entry did not live to tell of them, in
+	 * milliseconds: a caller's first question comes about then.
+	 */
+	private static final long INTAKE_MILLIS = 2_000;
+
+	private final WorkflowScheduler scheduler;
+
+	private final RowStore store;
+
+	private final Loop loop;
+
+	private final Telemetry telemetry;
+
+	private final TermDriver term;
+
+	private final TargetLinks targets;
+
+	private final long leaseMillis;
+
+	private final Map<String, List<Consumer<Boolean>>> cancels = new HashMap<>();
+
+	private List<JobRecord> saving = List.of();
+
+	private long savingSequence;
+
+	private boolean loaded;
+
+	private long loadingEpoch;
+
+	private long intakeVersion;
+
+	private boolean intakeAsked;
+
+	HolderDesk(WorkflowScheduler scheduler, RowStore store, Loop loop, Telemetry telemetry, TermDriver term,
+			TargetLinks targets, long leaseMillis) {
+		this.scheduler = scheduler;
+		this.store = store;
+		this.loop = loop;
+		this.telemetry = telemetry;
+		this.term = term;
+		this.targets = targets;
+		this.leaseMillis = leaseMillis;
+	}
+
+	void start() {
+		this.loop.every(TICK_MILLIS, () -> feed(new WorkflowEvent.Tick()));
+		this.loop.every(INTAKE_MILLIS, this::lookAtIntake);
+	}
+
+	/**
+	 * Whether the scheduler knows all that is kept and may decide.
+	 * @return whether it does
+	 */
+	boolean deciding() {
+		return this.loaded && this.term.mayDecide();
+	}
+
+	void termBegan(long epoch) {
+		this.loaded = false;
+		this.loadingEpoch = epoch;
+		this.targets.announceHolder(epoch);
+		load(epoch);
+	}
+
+	void termEnded() {
+		this.loaded = false;
+		this.loadingEpoch = 0;
+		feed(new WorkflowEvent.TermEnded());
+		this.cancels.values().forEach((waiting) -> waiting.forEach((taker) -> taker.accept(false)));
+		this.cancels.clear();
+		this.targets.announceNoHolder();
+	}
+
+	void saved(long sequence) {
+		feed(new WorkflowEvent.Kept(sequence));
+	}
+
+	List<Write> writesOf(long sequence) {
+		if (sequence != this.savingSequence) {
+			return List.of();
+		}
+		List<Write> writes = new ArrayList<>();
+		for (JobRecord record : this.saving) {
+			writes.add(new Write(Tables.progress(record.job()), Optional.of(RecordCodec.write(record))));
+		}
+		return writes;
+	}
+
+	void declared(FleetConfiguration configuration, Set<String> zonesOut) {
+		feed(new WorkflowEvent.ConfigurationChanged(configuration));
+		feed(new WorkflowEvent.ZonesOutChanged(zonesOut));
+	}
+
+	void accepted(Workflow job) {
+		if (this.loaded) {
+			feed(new WorkflowEvent.JobAccepted(job));
+		}
+	}
+
+	/**
+	 * Where a job stands.
+	 * @param job the job
+	 * @return its phase, or empty where it is not known here
+	 */
+	Optional<JobPhase> phase(String job) {
+		return this.scheduler.phase(job);
+	}
+
+	int waiting(String queue) {
+		return this.scheduler.waiting(queue);
+	}
+
+	/**
+	 * Cancels a job that is known here.
+	 * @param job the job
+	 * @param taker told true once the cancel is kept, false where that is not known
+	 */
+	void cancel(String job, Consumer<Boolean> taker) {
+		this.cancels.computeIfAbsent(job, (id) -> new ArrayList<>()).add(taker);
+		feed(new WorkflowEvent.CancelRequested(job));
+	}
+
+	void heard(String target, Message message) {
+		if (!this.term.mayDecide()) {
+			return;
+		}
+		if (message instanceof Message.TargetAlive alive) {
+			feed(new WorkflowEvent.WorkerHeard(target));
+			this.targets.granted(target, alive.heartbeat(), this.term.epoch(), this.leaseMillis);
+		}
+		else if (message instanceof Message.WorkerTold told && this.loaded) {
+			feed(new WorkflowEvent.WorkerReported(told.report()));
+		}
+		else if (message instanceof Message.RunNotBegun refused && this.loaded) {
+			feed(new WorkflowEvent.RunRefused(target, refused.task(), refused.run(), refused.why()));
+		}
+	}
+
+	private void feed(WorkflowEvent event) {
+		WorkflowScheduler.Instant now = new WorkflowScheduler.Instant(this.loop.steadyMillis(),
+				System.currentTimeMillis());
+		List<WorkflowCommand> commands = this.scheduler.handle(now, event);
+		commands.forEach(this::carryOut);
+	}
+
+	private void carryOut(WorkflowCommand command) {
+		if (command instanceof WorkflowCommand.Explain explain) {
+			LOG.info(explain.event(), explain.keysAndValues().toArray());
+		}
+		else if (command instanceof WorkflowCommand.Keep keep) {
+			this.saving = keep.records();
+			this.savingSequence = keep.sequence();
+			this.term.save(keep.sequence());
+		}
+		else if (command instanceof WorkflowCommand.CancelKept kept) {
+			List<Consumer<Boolean>> waiting = this.cancels.remove(kept.job());
+			if (waiting != null) {
+				waiting.forEach((taker) -> taker.accept(true));
+			}
+		}
+		else if (this.term.mayDecide()) {
+			order(command);
+		}
+	}
+
+	private void order(WorkflowCommand command) {
+		long epoch = this.term.epoch();
+		if (command instanceof WorkflowCommand.StartRun start) {
+			this.telemetry.count("orders.start");
+			this.targets.send(start.target(), (heartbeat) -> new Message.RunStart(epoch, heartbeat, start.life(),
+					start.task(), start.run(), start.program(), start.checkpoint()));
+		}
+		else if (command instanceof WorkflowCommand.StopRun stop) {
+			this.telemetry.count("orders.stop");
+			this.targets.send(stop.target(),
+					(heartbeat) -> new Message.RunStop(epoch, stop.life(), stop.task(), stop.run()));
+		}
+		else if (command instanceof WorkflowCommand.AcknowledgeEnds ends) {
+			this.targets.send(ends.target(), (heartbeat) -> new Message.EndsKept(epoch, ends.life(), ends.upTo()));
+		}
+	}
+
+	private void load(long epoch) {
+		readAll(Tables.INTAKE, "", new ArrayList<>(), Long.MAX_VALUE, epoch, (intake) -> {
+			this.intakeVersion = intake.version();
+			readAll(Tables.PROGRESS, "", new ArrayList<>(), Long.MAX_VALUE, epoch,
+					(progress) -> finishLoading(epoch, intake.rows(), progress.rows()));
+		});
+	}
+
+	private void finishLoading(long epoch, List<Row> intake, List<Row> progress) {
+		Map<String, JobRecord> records = new HashMap<>();
+		for (Row row : progress) {
+			decode(row, RecordCodec::readProgress).ifPresent((record) -> records.put(record.job(), record));
+		}
+		Set<String> cancelled = new HashSet<>();
+		Map<String, Workflow> jobs = new LinkedHashMap<>();
+		for (Row row : intake) {
+			if (Tables.isJob(row.place())) {
+				decode(row, RecordCodec::readWorkflow).ifPresent((job) -> jobs.put(job.id(), job));
+			}
+			else {
+				cancelled.add(Tables.jobOf(row.place()));
+			}
+		}
+		List<KeptJob> kept = new ArrayList<>();
+		for (Workflow job : jobs.values()) {
+			kept.add(new KeptJob(job, Optional.ofNullable(records.get(job.id())), cancelled.contains(job.id())));
+		}
+		LOG.info("term-loaded", "epoch", epoch, "jobs", kept.size(), "cancelled", cancelled.size());
+		this.loaded = true;
+		feed(new WorkflowEvent.TermBegan(epoch, kept));
+		this.targets.announceHolder(epoch);
+	}
+
+	private void readAll(String table, String from, List<Row> found, long oldest, long epoch,
+			Consumer<RowStore.Read.Found> taker) {
+		this.loop.then(this.store.read(table, from, PAGE), (read) -> {
+			if (this.loadingEpoch != epoch) {
+				return;
+			}
+			if (!(read instanceof RowStore.Read.Found page)) {
+				LOG.warn("load-retried", "table", table, "why", read);
+				this.loop.after(RELOAD_MILLIS, () -> readAll(table, from, found, oldest, epoch, taker));
+				return;
+			}
+			found.addAll(page.rows());
+			long since = Math.min(oldest, page.version());
+			if (page.more() && !page.rows().isEmpty()) {
+				String next = page.rows().get(page.rows().size() - 1).place().key() + "\0";
+				readAll(table, next, found, since, epoch, taker);
+				return;
+			}
+			taker.accept(new RowStore.Read.Found(found, false, since));
+		});
+	}
+
+	// An entry that accepted a job tells the holder at once. One that dies in between
+	// leaves the job in the store, where it is found here.
+	private void lookAtIntake() {
+		if (!deciding() || this.intakeAsked) {
+			return;
+		}
+		this.intakeAsked = true;
+		long epoch = this.loadingEpoch;
+		this.loop.then(this.store.changes(Tables.INTAKE, this.intakeVersion, Duration.ZERO), (changes) -> {
+			this.intakeAsked = false;
+			if (this.loadingEpoch != epoch || !this.loaded) {
+				return;
+			}
+			if (changes instanceof RowStore.Changes.Found found) {
+				found.rows().forEach(this::takeIntake);
+				this.intakeVersion = Math.max(this.intakeVersion, found.version());
+			}
+			else if (changes instanceof RowStore.Changes.Forgotten) {
+				readAll(Tables.INTAKE, "", new ArrayList<>(), Long.MAX_VALUE, epoch, (intake) -> {
+					intake.rows().forEach(this::takeIntake);
+					this.intakeVersion = intake.version();
+				});
+			}
+		});
+	}
+
+	private void takeIntake(Row row) {
+		if (row.value().isEmpty()) {
+			return;
+		}
+		if (Tables.isJob(row.place())) {
+			decode(row, RecordCodec::readWorkflow).ifPresent((job) -> feed(new WorkflowEvent.JobAccepted(job)));
+			return;
+		}
+		String job = Tables.jobOf(row.place());
+		if (this.scheduler.phase(job).map((phase) -> !phase.over()).orElse(false)) {
+			feed(new WorkflowEvent.CancelRequested(job));
+		}
+	}
+
+	private static <T> Optional<T> decode(Row row, Function<String, T> reader) {
+		try {
+			return row.value().map(reader);
+		}
+		catch (IllegalArgumentException | InvalidValueException ex) {
+			LOG.warn("row-unreadable", "table", row.place().table(), "key", row.place().key(), "why", ex.getMessage());
+			return Optional.empty();
+		}
+	}
+
+}
--- /dev/null
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
@@ -0,0 +1,231 @@
+package org.almondmount.fleet.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongFunction;
+
+import org.almondmount.fleet.Loop;
+import org.almondmount.fleet.Tables;
+import org.almondmount.fleet.codec.RecordCodec;
+import org.almondmount.model.InvalidValueException;
+import org.almondmount.rows.RowStore;
+import org.almondmount.rows.RowStore.Condition;
+import org.almondmount.rows.RowStore.Row;
+import org.almondmount.rows.RowStore.Write;
+import org.almondmount.telemetry.EventLog;
+import org.almondmount.telemetry.Telemetry;
+import org.almondmount.term.TermCommand;
+import org.almondmount.term.TermEvent;
+import org.almondmount.term.TermKeeper;
+import org.almondmount.term.TermRow;
+import org.almondmount.term.TermSettings;
+
+/**
+ * Carries out the decisions about the term. Belongs to the loop's thread.
+ */
+final class TermDriver {
+
+	private static final EventLog LOG = EventLog.of(TermDriver.class);
+
+	private static final long TICK_MILLIS = 50;
+
+	private final TermKeeper keeper;
+
+	private final RowStore store;
+
+	private final Loop loop;
+
+	private final Telemetry telemetry;
+
+	private final Listener listener;
+
+	private final LongFunction<List<Write>> saves;
+
+	private Optional<TermRow> holder = Optional.empty();
+
+	private boolean storeAnswers = true;
+
+	/**
+	 * Makes a driver that does nothing before {@link #start()}.
+	 * @param settings how this entry takes part
+	 * @param store where the row lies
+	 * @param loop the thread
+	 * @param telemetry the process's metrics
+	 * @param saves the writes of a save, by its sequence
+	 * @param listener hears of the term
+	 */
+	TermDriver(TermSettings settings, RowStore store, Loop loop, Telemetry telemetry, LongFunction<List<Write>> saves,
+			Listener listener) {
+		this.keeper = new TermKeeper(settings);
+		this.store = store;
+		this.loop = loop;
+		this.telemetry = telemetry;
+		this.saves = saves;
+		this.listener = listener;
+	}
+
+	void start() {
+		feed(new TermEvent.Tick());
+		this.loop.every(TICK_MILLIS, () -> feed(new TermEvent.Tick()));
+	}
+
+	/**
+	 * Whether this entry may decide at this very moment.
+	 * @return whether it holds the term and the term is valid by the clock
+	 */
+	boolean mayDecide() {
+		return this.loop.steadyMillis() < this.keeper.validUntilMillis();
+	}
+
+	long epoch() {
+		return this.keeper.epoch();
+	}
+
+	/**
+	 * The other entry that was last seen to hold the term.
+	 * @return its row
+	 */
+	Optional<TermRow> holder() {
+		return this.holder;
+	}
+
+	void save(long sequence) {
+		feed(new TermEvent.Save(sequence));
+	}
+
+	void holderHeard(long epoch) {
+		feed(new TermEvent.HolderHeard(epoch));
+	}
+
+	void release() {
+		feed(new TermEvent.Release());
+	}
+
+	private void feed(TermEvent event) {
+		List<TermCommand> commands = new ArrayList<>(this.keeper.handle(this.loop.steadyMillis(), event));
+		commands.forEach(this::carryOut);
+	}
+
+	private void carryOut(TermCommand command) {
+		if (command instanceof TermCommand.Look) {
+			this.loop.then(this.store.read(Tables.TERM.table(), Tables.TERM.key(), 1), this::looked);
+		}
+		else if (command instanceof TermCommand.Commit commit) {
+			commit(commit);
+		}
+		else if (command instanceof TermCommand.Began began) {
+			this.holder = Optional.empty();
+			this.telemetry.count("term.began");
+			LOG.info("term-began", "epoch", began.epoch());
+			this.listener.began(began.epoch());
+		}
+		else if (command instanceof TermCommand.Ended ended) {
+			this.telemetry.count("term.ended");
+			LOG.warn("term-ended", "epoch", ended.epoch(), "why", ended.why());
+			this.listener.ended();
+		}
+		else if (command instanceof TermCommand.Saved saved) {
+			this.listener.saved(saved.sequence());
+		}
+		else if (command instanceof TermCommand.HolderSeen seen) {
+			this.holder = Optional.of(seen.row());
+			LOG.info("holder-seen", "holder", seen.row().holder(), "epoch", seen.row().epoch(), "address",
+					seen.row().address());
+			this.listener.holderSeen(seen.row());
+		}
+		else if (command instanceof TermCommand.Released) {
+			LOG.info("term-released", "epoch", this.keeper.epoch());
+			this.listener.released();
+		}
+	}
+
+	private void looked(RowStore.Read read) {
+		if (!(read instanceof RowStore.Read.Found found)) {
+			storeSilent(read.toString());
+			feed(new TermEvent.ReadFailed());
+			return;
+		}
+		storeAnswered();
+		Optional<Row> row = found.rows().stream().filter((one) -> one.place().equals(Tables.TERM)).findFirst();
+		feed(new TermEvent.RowRead(row.flatMap(TermDriver::parse), row.map(Row::version).orElse(0L)));
+	}
+
+	private void commit(TermCommand.Commit commit) {
+		List<Write> writes = new ArrayList<>();
+		writes.add(new Write(Tables.TERM, Optional.of(RecordCodec.write(commit.row()))));
+		if (commit.save() != 0) {
+			writes.addAll(this.saves.apply(commit.save()));
+		}
+		long number = commit.row().commit();
+		long sentAt = this.loop.steadyMillis();
+		this.loop.then(this.store.commit(List.of(new Condition(Tables.TERM, commit.expectedVersion())), writes),
+				(ending) -> ended(number, sentAt, ending));
+	}
+
+	private void ended(long number, long sentAt, RowStore.Commit ending) {
+		if (ending instanceof RowStore.Commit.Committed committed) {
+			storeAnswered();
+			feed(new TermEvent.Committed(number, committed.version()));
+		}
+		else if (ending instanceof RowStore.Commit.Conflict conflict) {
+			storeAnswered();
+			Optional<Row> row = conflict.current()
+				.stream()
+				.filter((one) -> one.place().equals(Tables.TERM))
+				.findFirst();
+			feed(new TermEvent.Conflict(number, row.flatMap(TermDriver::parse), row.map(Row::version).orElse(0L)));
+		}
+		else if (ending instanceof RowStore.Commit.Refused refused) {
+			storeSilent(refused.why());
+			feed(new TermEvent.Refused(number));
+		}
+		else if (ending instanceof RowStore.Commit.Unanswered unanswered) {
+			storeSilent(unanswered.why() + " after " + (this.loop.steadyMillis() - sentAt) + " ms");
+			feed(new TermEvent.Unanswered(number));
+		}
+	}
+
+	private void storeSilent(String why) {
+		this.telemetry.count("term.store-failed");
+		if (this.storeAnswers) {
+			this.storeAnswers = false;
+			LOG.warn("dependency-lost", "what", "store", "why", why);
+		}
+	}
+
+	private void storeAnswered() {
+		if (!this.storeAnswers) {
+			this.storeAnswers = true;
+			LOG.info("dependency-regained", "what", "store");
+		}
+	}
+
+	private static Optional<TermRow> parse(Row row) {
+		try {
+			return row.value().map(RecordCodec::readTerm);
+		}
+		catch (InvalidValueException ex) {
+			LOG.warn("term-row-unreadable", "why", ex.getMessage());
+			return Optional.empty();
+		}
+	}
+
+	/**
+	 * Hears of the term, on the loop's thread.
+	 */
+	interface Listener {
+
+		void began(long epoch);
+
+		void ended();
+
+		void saved(long sequence);
+
+		void holderSeen(TermRow row);
+
+		void released();
+
+	}
+
+}
--- /dev/null
+++ b/fleet/src/main/java/org/almondmount/fleet/target/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The process beside a worker.
+ */
+package org.almondmount.fleet.target;
--- a/runtime/src/main/java/org/almondmount/http/impl/HeaderMapping.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/HeaderMapping.java
@@ -17,7 +17,10 @@
 final class HeaderMapping {
 
 	private static final Set<String> OF_ONE_CONNECTION = Set.of("connection", "keep-alive", "proxy-connection",
-			"transfer-encoding", "content-length", "te", "trailer", "upgrade", "expect", "host");
+			"transfer-encoding", "content-length", "te", "trailer", "upgrade", "expect");
+
+	/** Read by servers that serve several hosts; a client sets its own. */
+	private static final String HOST = "host";
 
 	private HeaderMapping() {
 	}
@@ -36,7 +39,7 @@
 	static void copy(Map<String, String> from, HttpHeaders to) {
 		for (Map.Entry<String, String> header : from.entrySet()) {
 			String name = header.getKey().toLowerCase(Locale.ROOT);
-			if (!OF_ONE_CONNECTION.contains(name)) {
+			if (!OF_ONE_CONNECTION.contains(name) && !name.equals(HOST)) {
 				to.set(name, header.getValue());
 			}
 		}
--- a/runtime/src/main/java/org/almondmount/platform/TableOptions.java
+++ b/runtime/src/main/java/org/almondmount/services/TableOptions.java
@@ -1,4 +1,4 @@
-package org.almondmount.platform;
+package org.almondmount.services;
 
 import java.time.Duration;
 
--- a/runtime/src/main/java/org/almondmount/platform/TableOutcome.java
+++ b/runtime/src/main/java/org/almondmount/services/TableOutcome.java
@@ -1,4 +1,4 @@
-package org.almondmount.platform;
+package org.almondmount.services;
 
 /**
  * How operations on the table ended; each has a counter.
--- a/runtime/src/main/java/org/almondmount/platform/TableRetry.java
+++ b/runtime/src/main/java/org/almondmount/services/TableRetry.java
@@ -1,4 +1,4 @@
-package org.almondmount.platform;
+package org.almondmount.services;
 
 /**
  * Every reason for which an operation is sent to the table once more; each has a counter.
--- a/runtime/src/main/java/org/almondmount/platform/impl/Backoff.java
+++ b/runtime/src/main/java/org/almondmount/services/impl/Backoff.java
@@ -1,4 +1,4 @@
-package org.almondmount.platform.impl;
+package org.almondmount.services.impl;
 
 import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
--- a/runtime/src/main/java/org/almondmount/platform/impl/HttpObjectStore.java
+++ b/runtime/src/main/java/org/almondmount/services/impl/HttpObjectStore.java
@@ -1,4 +1,4 @@
-package org.almondmount.platform.impl;
+package org.almondmount.services.impl;
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -7,7 +7,7 @@
 import org.almondmount.http.HttpAnswer;
 import org.almondmount.http.HttpClient;
 import org.almondmount.http.HttpFailure;
-import org.almondmount.platform.ObjectStore;
+import org.almondmount.services.ObjectStore;
 
 /**
  * The platform's object store over HTTP. Thread-safe.
--- a/runtime/src/main/java/org/almondmount/platform/impl/HttpTableService.java
+++ b/runtime/src/main/java/org/almondmount/services/impl/HttpTableService.java
@@ -1,4 +1,4 @@
-package org.almondmount.platform.impl;
+package org.almondmount.services.impl;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -13,10 +13,10 @@
 import org.almondmount.http.HttpCall;
 import org.almondmount.http.HttpClient;
 import org.almondmount.net.IoThreads;
-import org.almondmount.platform.TableOptions;
-import org.almondmount.platform.TableOutcome;
-import org.almondmount.platform.TableService;
-import org.almondmount.platform.util.RateBound;
+import org.almondmount.services.TableOptions;
+import org.almondmount.services.TableOutcome;
+import org.almondmount.services.TableService;
+import org.almondmount.services.util.RateBound;
 import org.almondmount.telemetry.Telemetry;
 
 /**
--- a/runtime/src/main/java/org/almondmount/platform/impl/HttpWorkerClient.java
+++ b/runtime/src/main/java/org/almondmount/services/impl/HttpWorkerClient.java
@@ -1,4 +1,4 @@
-package org.almondmount.platform.impl;
+package org.almondmount.services.impl;
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -16,7 +16,7 @@
 import org.almondmount.model.JobId;
 import org.almondmount.model.JobSpec;
 import org.almondmount.model.Resources;
-import org.almondmount.platform.WorkerClient;
+import org.almondmount.services.WorkerClient;
 
 /**
  * The worker beside a target, over HTTP with JSON. Thread-safe. It sends each call once;
--- a/runtime/src/main/java/org/almondmount/platform/impl/Json.java
+++ b/runtime/src/main/java/org/almondmount/services/impl/Json.java
@@ -1,4 +1,4 @@
-package org.almondmount.platform.impl;
+package org.almondmount.services.impl;
 
 import java.io.IOException;
 import java.net.URLEncoder;
--- a/runtime/src/main/java/org/almondmount/platform/impl/TableCommit.java
+++ b/runtime/src/main/java/org/almondmount/services/impl/TableCommit.java
@@ -1,10 +1,10 @@
-package org.almondmount.platform.impl;
+package org.almondmount.services.impl;
 
 import java.util.concurrent.CompletableFuture;
 
 import org.almondmount.http.HttpCall;
-import org.almondmount.platform.TableOptions;
-import org.almondmount.platform.TableService.CommitResult;
+import org.almondmount.services.TableOptions;
+import org.almondmount.services.TableService.CommitResult;
 
 /**
  * One transaction on its way through several attempts. Its attempts follow each other, so
--- a/runtime/src/main/java/org/almondmount/platform/impl/TableExchange.java
+++ b/runtime/src/main/java/org/almondmount/services/impl/TableExchange.java
@@ -1,4 +1,4 @@
-package org.almondmount.platform.impl;
+package org.almondmount.services.impl;
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
@@ -8,8 +8,8 @@
 import org.almondmount.http.HttpCall;
 import org.almondmount.http.HttpClient;
 import org.almondmount.http.HttpFailure;
-import org.almondmount.platform.TableOptions;
-import org.almondmount.platform.TableRetry;
+import org.almondmount.services.TableOptions;
+import org.almondmount.services.TableRetry;
 
 /**
  * Single exchanges with the table, told apart by what they mean for the operation.
--- a/runtime/src/main/java/org/almondmount/platform/impl/TableMetrics.java
+++ b/runtime/src/main/java/org/almondmount/services/impl/TableMetrics.java
@@ -1,8 +1,8 @@
-package org.almondmount.platform.impl;
+package org.almondmount.services.impl;
 
-import org.almondmount.platform.TableOutcome;
-import org.almondmount.platform.TableRetry;
-import org.almondmount.platform.TableService.CommitResult;
+import org.almondmount.services.TableOutcome;
+import org.almondmount.services.TableRetry;
+import org.almondmount.services.TableService.CommitResult;
 import org.almondmount.telemetry.Telemetry;
 
 /**
--- a/runtime/src/main/java/org/almondmount/platform/impl/TokenRows.java
+++ b/runtime/src/main/java/org/almondmount/services/impl/TokenRows.java
@@ -1,10 +1,10 @@
-package org.almondmount.platform.impl;
+package org.almondmount.services.impl;
 
 import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.almondmount.platform.TableOptions;
-import org.almondmount.platform.TableService.CommitResult;
+import org.almondmount.services.TableOptions;
+import org.almondmount.services.TableService.CommitResult;
 
 /**
  * The rows that tell how transactions ended. Thread-safe.
--- a/runtime/src/main/java/org/almondmount/platform/impl/package-info.java
+++ b/runtime/src/main/java/org/almondmount/services/impl/package-info.java
@@ -1,4 +1,4 @@
 /**
  * The platform's services over HTTP with JSON.
  */
-package org.almondmount.platform.impl;
+package org.almondmount.services.impl;
--- a/runtime/src/main/java/org/almondmount/platform/package-info.java
+++ b/runtime/src/main/java/org/almondmount/services/package-info.java
@@ -2,4 +2,4 @@
  * Clients of the platform: the transactional table service, the object store and the
  * worker beside a target.
  */
-package org.almondmount.platform;
+package org.almondmount.services;
--- a/runtime/src/main/java/org/almondmount/platform/util/RateBound.java
+++ b/runtime/src/main/java/org/almondmount/services/util/RateBound.java
@@ -1,4 +1,4 @@
-package org.almondmount.platform.util;
+package org.almondmount.services.util;
 
 import java.util.function.LongSupplier;
 
--- a/runtime/src/main/java/org/almondmount/platform/util/package-info.java
+++ b/runtime/src/main/java/org/almondmount/services/util/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Helpers for clients and stand-ins of the platform.
  */
-package org.almondmount.platform.util;
+package org.almondmount.services.util;
--- a/daemon/src/main/java/org/almondmount/daemon/entry/api/MetricsDocument.java
+++ b/runtime/src/main/java/org/almondmount/telemetry/MetricsDocument.java
@@ -1,4 +1,4 @@
-package org.almondmount.daemon.entry.api;
+package org.almondmount.telemetry;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -17,17 +17,21 @@
  * The metrics as one document: counters and gauges as numbers, timers and histograms with
  * their count and quantiles; times in milliseconds. Thread-safe.
  */
-final class MetricsDocument {
+public final class MetricsDocument {
 
 	private static final double NANOS_A_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
 	private final MetricRegistry registry;
 
-	MetricsDocument(MetricRegistry registry) {
+	public MetricsDocument(MetricRegistry registry) {
 		this.registry = registry;
 	}
 
-	Map<String, Object> read() {
+	/**
+	 * Reads all metrics as they are now.
+	 * @return values by name, in the order of the names
+	 */
+	public Map<String, Object> read() {
 		Map<String, Object> document = new TreeMap<>();
 		this.registry.getMetrics().forEach((name, metric) -> document.put(name, value(metric)));
 		return document;
--- a/runtime/src/main/java/org/almondmount/wire/Message.java
+++ b/runtime/src/main/java/org/almondmount/wire/Message.java
@@ -12,6 +12,9 @@
 import org.almondmount.model.JobSpec;
 import org.almondmount.model.RequestId;
 import org.almondmount.model.Resources;
+import org.almondmount.workflow.TaskId;
+import org.almondmount.workflow.WorkerLife;
+import org.almondmount.workflow.WorkerReport;
 
 /**
  * Every message between almondmount's processes. The handshake comes before the first of
@@ -149,6 +152,52 @@
 	record HolderIs(EntryId holder, long epoch, String address) implements Message {
 	}
 
+	/** Target to the holder of the term: it lives; a grant repeats the number. */
+	record TargetAlive(long heartbeat) implements Message {
+	}
+
+	/**
+	 * Holder of the term to target: what runs beside it may go on.
+	 *
+	 * @param epoch the holder's epoch
+	 * @param heartbeat the heartbeat from whose sending the lease counts
+	 * @param leaseMillis the lease
+	 * @param entries peer addresses of the entries known to the holder
+	 */
+	record LeaseGranted(long epoch, long heartbeat, long leaseMillis, List<String> entries) implements Message {
+	}
+
+	/** Target to the holder of the term: its worker as it is now. */
+	record WorkerTold(WorkerReport report) implements Message {
+	}
+
+	/** Target to the holder of the term: a run was not begun and never will be. */
+	record RunNotBegun(TaskId task, int run, String why) implements Message {
+	}
+
+	/**
+	 * Holder of the term to target: begin a run.
+	 *
+	 * @param epoch the holder's epoch
+	 * @param heartbeat the last heartbeat that the holder has heard of the target
+	 * @param life the life of the worker that is meant
+	 * @param task the task
+	 * @param run the run's number
+	 * @param program what to run
+	 * @param checkpoint where to go on, or empty
+	 */
+	record RunStart(long epoch, long heartbeat, WorkerLife life, TaskId task, int run, String program,
+			String checkpoint) implements Message {
+	}
+
+	/** Holder of the term to target: end a run, or make sure that it never begins. */
+	record RunStop(long epoch, WorkerLife life, TaskId task, int run) implements Message {
+	}
+
+	/** Holder of the term to target: ends up to that number are kept. */
+	record EndsKept(long epoch, WorkerLife life, long upTo) implements Message {
+	}
+
 	/** A kind that this version does not know; counted and otherwise ignored. */
 	record Unknown(int kind) implements Message {
 	}
--- a/runtime/src/main/java/org/almondmount/wire/impl/MessageKind.java
+++ b/runtime/src/main/java/org/almondmount/wire/impl/MessageKind.java
@@ -10,6 +10,7 @@
 import org.almondmount.model.EntryId;
 import org.almondmount.model.RequestId;
 import org.almondmount.wire.Message;
+import org.almondmount.workflow.TaskId;
 
 /**
  * The kinds of messages with their number on the wire and their fields in order. A number
@@ -128,7 +129,41 @@
 
 	HOLDER_IS(20, 3, Message.HolderIs.class,
 			(out, m) -> out.text(m.holder().value()).number(m.epoch()).text(m.address()),
-			(in) -> new Message.HolderIs(new EntryId(in.text()), in.number(), in.text()));
+			(in) -> new Message.HolderIs(new EntryId(in.text()), in.number(), in.text())),
+
+	TARGET_ALIVE(21, 1, Message.TargetAlive.class, (out, m) -> out.number(m.heartbeat()),
+			(in) -> new Message.TargetAlive(in.number())),
+
+	LEASE_GRANTED(22, 4, Message.LeaseGranted.class, (out, m) -> {
+		out.number(m.epoch()).number(m.heartbeat()).number(m.leaseMillis());
+		out.list(m.entries(), FrameWriter::text);
+	}, (in) -> new Message.LeaseGranted(in.number(), in.number(), in.number(), in.list(FrameReader::text))),
+
+	WORKER_TOLD(23, 1, Message.WorkerTold.class, (out, m) -> WorkflowCodec.writeReport(out, m.report()),
+			(in) -> new Message.WorkerTold(WorkflowCodec.readReport(in))),
+
+	RUN_NOT_BEGUN(24, 3, Message.RunNotBegun.class,
+			(out, m) -> out.text(m.task().toString()).number(m.run()).text(m.why()),
+			(in) -> new Message.RunNotBegun(TaskId.parse(in.text()), in.smallNumber(), in.text())),
+
+	RUN_START(25, 7, Message.RunStart.class, (out, m) -> {
+		out.number(m.epoch()).number(m.heartbeat());
+		WorkflowCodec.writeLife(out, m.life());
+		out.text(m.task().toString()).number(m.run()).text(m.program()).text(m.checkpoint());
+	}, (in) -> new Message.RunStart(in.number(), in.number(), WorkflowCodec.readLife(in), TaskId.parse(in.text()),
+			in.smallNumber(), in.text(), in.text())),
+
+	RUN_STOP(26, 4, Message.RunStop.class, (out, m) -> {
+		out.number(m.epoch());
+		WorkflowCodec.writeLife(out, m.life());
+		out.text(m.task().toString()).number(m.run());
+	}, (in) -> new Message.RunStop(in.number(), WorkflowCodec.readLife(in), TaskId.parse(in.text()), in.smallNumber())),
+
+	ENDS_KEPT(27, 3, Message.EndsKept.class, (out, m) -> {
+		out.number(m.epoch());
+		WorkflowCodec.writeLife(out, m.life());
+		out.number(m.upTo());
+	}, (in) -> new Message.EndsKept(in.number(), WorkflowCodec.readLife(in), in.number()));
 
 	private static final Map<Integer, MessageKind> BY_CODE = new HashMap<>();
 
--- a/runtime/src/test/java/org/almondmount/RuntimeArchitectureTests.java
+++ b/runtime/src/test/java/org/almondmount/RuntimeArchitectureTests.java
@@ -7,7 +7,7 @@
 import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
 import com.tngtech.archunit.library.dependencies.SlicesRuleDefinition;
 
-@AnalyzeClasses(packages = { "org.almondmount.wire", "org.almondmount.http", "org.almondmount.platform",
+@AnalyzeClasses(packages = { "org.almondmount.wire", "org.almondmount.http", "org.almondmount.services",
 		"org.almondmount.settings", "org.almondmount.duty", "org.almondmount.telemetry", "org.almondmount.net" },
 		importOptions = DoNotIncludeTests.class)
 class RuntimeArchitectureTests {
@@ -15,7 +15,7 @@
 	@ArchTest
 	final ArchRule whatUsersMeetKnowsNoLibraryOfTheNetwork = ArchRuleDefinition.noClasses()
 		.that()
-		.resideInAnyPackage("org.almondmount.wire", "org.almondmount.http", "org.almondmount.platform",
+		.resideInAnyPackage("org.almondmount.wire", "org.almondmount.http", "org.almondmount.services",
 				"org.almondmount.settings", "org.almondmount.duty", "org.almondmount.telemetry")
 		.should()
 		.dependOnClassesThat()
--- a/runtime/src/test/java/org/almondmount/telemetry/OperatorsPageTests.java
+++ b/runtime/src/test/java/org/almondmount/telemetry/OperatorsPageTests.java
@@ -9,9 +9,9 @@
 
 import org.almondmount.http.CutReason;
 import org.almondmount.model.RefusalReason;
-import org.almondmount.platform.TableOutcome;
-import org.almondmount.platform.TableRetry;
 import org.almondmount.requests.RetryReason;
+import org.almondmount.services.TableOutcome;
+import org.almondmount.services.TableRetry;
 import org.almondmount.wire.CloseReason;
 import org.almondmount.wire.SendRefusal;
 import org.junit.jupiter.api.Test;
--- a/standins/src/main/java/org/almondmount/standins/platform/TableRole.java
+++ b/standins/src/main/java/org/almondmount/standins/platform/TableRole.java
@@ -10,7 +10,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.almondmount.http.HttpAnswer;
 import org.almondmount.http.HttpCall;
-import org.almondmount.platform.util.RateBound;
+import org.almondmount.services.util.RateBound;
 
 /**
  * The platform's transactional table, in memory. Not thread-safe.
