--- a/daemon/src/main/java/org/almondmount/daemon/target/TargetDaemon.java
+++ b/daemon/src/main/java/org/almondmount/daemon/target/TargetDaemon.java
@@ -16,7 +16,7 @@
 import org.almondmount.gang.MemberKeeperFactory;
 import org.almondmount.gang.MemberPolicy;
 import org.almondmount.http.HttpClient;
-import org.almondmount.platform.WorkerClient;
+import org.almondmount.services.WorkerClient;
 import org.almondmount.settings.TargetSettings;
 import org.almondmount.slots.SlotGate;
 import org.almondmount.slots.SlotGateFactory;
--- a/daemon/src/main/java/org/almondmount/daemon/target/TargetSignal.java
+++ b/daemon/src/main/java/org/almondmount/daemon/target/TargetSignal.java
@@ -6,7 +6,7 @@
 import org.almondmount.http.HttpAnswer;
 import org.almondmount.jobs.Attempt;
 import org.almondmount.model.RequestId;
-import org.almondmount.platform.WorkerClient.TaskReport;
+import org.almondmount.services.WorkerClient.TaskReport;
 import org.almondmount.wire.CloseReason;
 import org.almondmount.wire.Message;
 import org.almondmount.wire.PeerConnection;
--- a/daemon/src/main/java/org/almondmount/daemon/target/WorkerTasks.java
+++ b/daemon/src/main/java/org/almondmount/daemon/target/WorkerTasks.java
@@ -13,8 +13,8 @@
 import org.almondmount.http.HttpFailure;
 import org.almondmount.jobs.Attempt;
 import org.almondmount.jobs.Ending;
-import org.almondmount.platform.WorkerClient;
-import org.almondmount.platform.WorkerClient.TaskReport;
+import org.almondmount.services.WorkerClient;
+import org.almondmount.services.WorkerClient.TaskReport;
 import org.almondmount.telemetry.EventLog;
 
 /**
--- a/daemon/src/test/java/org/almondmount/daemon/target/FakeWorker.java
+++ b/daemon/src/test/java/org/almondmount/daemon/target/FakeWorker.java
@@ -8,7 +8,7 @@
 import org.almondmount.jobs.Attempt;
 import org.almondmount.model.JobSpec;
 import org.almondmount.model.Resources;
-import org.almondmount.platform.WorkerClient;
+import org.almondmount.services.WorkerClient;
 
 /**
  * A worker that runs at once what it is told to run.
