--- a/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
@@ -176,21 +176,28 @@
 		if (this.orders.containsKey(key) || isListed(order.task(), order.run())) {
 			return;
 		}
-		Optional<String> refusal = refusal(now, order);
-		if (refusal.isPresent()) {
-			this.commands.add(new WorkerCommand.SendNotBegun(order.task(), order.run(), refusal.get()));
+		if (!order.life().equals(this.life)) {
 			return;
 		}
 		OrderedRun run = new OrderedRun(order);
 		this.orders.put(key, run);
-		sendStart(now, run);
+		Optional<String> refusal = refusal(now, order);
+		if (refusal.isEmpty()) {
+			sendStart(now, run);
+			return;
+		}
+		// The process that stood here before may have sent the same order, and its call
+		// may
+		// still be carried out. So a refusal is only told once the worker was told to
+		// stop
+		// the run, after which it never begins.
+		run.why(refusal.get());
+		run.stopWanted(true);
+		sendStop(run);
 	}
 
 	private Optional<String> refusal(long now, WorkerEvent.StartOrdered order) {
 		Long sent = this.heartbeats.get(order.heartbeat());
-		if (!order.life().equals(this.life)) {
-			return Optional.of("another life of the worker");
-		}
 		if (sent == null || leaseUntilByWorker(now) == 0) {
 			return Optional.of("no lease");
 		}
@@ -422,12 +429,11 @@
 	}
 
 	private long leaseUntilByWorker(long now) {
-		long left = this.leaseUntil - now;
-		if (left <= 0 || this.clockReadAt == 0) {
+		if (now >= this.leaseUntil || this.clockReadAt == 0) {
 			return 0;
 		}
 		long clock = this.clockMillis + (long) ((now - this.clockReadAt) * SLOWEST_CLOCK);
-		return clock + left;
+		return clock + (this.leaseUntil - now);
 	}
 
 	private boolean isListed(TaskId task, int run) {
--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -7,7 +7,6 @@
 import org.almondmount.workflow.JobRecord;
 import org.almondmount.workflow.JobRecord.OpenRun;
 import org.almondmount.workflow.JobRecord.TaskRecord;
-import org.almondmount.workflow.RunEnding;
 import org.almondmount.workflow.SchedulerPolicy;
 import org.almondmount.workflow.Workflow;
 import org.almondmount.workflow.WorkflowCommand;
@@ -158,29 +157,20 @@
 		}
 	}
 
-	// Two runs of earlier terms may name two lives of one worker; the later life is the
-	// one
-	// that counts, and what ran in the earlier one ended with it.
+	// Runs of earlier terms may name several lives of one worker. They are all taken to
+	// the
+	// latest one, where each is found, or stopped for certain.
 	private void inherit(TaskState task, OpenRun open) {
 		Worker worker = this.state.worker(open.target(), open.life());
 		if (worker.life().bornMillis() < open.life().bornMillis()) {
 			this.state.workers().remove(open.target());
 			Worker later = this.state.worker(open.target(), open.life());
-			closeInherited(worker);
+			List.copyOf(worker.runs()).forEach((run) -> run.moveTo(later));
 			worker = later;
 		}
 		Run run = new Run(task, open.number(), worker, open.epoch(), Run.State.INHERITED);
 		task.openRuns().add(run);
-		if (worker.life().equals(open.life())) {
-			worker.add(run);
-		}
-		else {
-			this.ledger.close(run, RunEnding.LOST, "");
-		}
-	}
-
-	private void closeInherited(Worker worker) {
-		List.copyOf(worker.runs()).forEach((run) -> this.ledger.close(run, RunEnding.LOST, ""));
+		worker.add(run);
 	}
 
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -12,7 +12,7 @@
 
 	private final int number;
 
-	private final Worker worker;
+	private Worker worker;
 
 	private final long epoch;
 
@@ -50,6 +50,17 @@
 		return this.epoch;
 	}
 
+	/**
+	 * Moves the run to a later life of its worker, where it may still begin.
+	 * @param later that life
+	 */
+	void moveTo(Worker later) {
+		this.worker.remove(this);
+		this.worker = later;
+		this.state = State.INHERITED;
+		later.add(this);
+	}
+
 	ResourceAmount demand() {
 		return this.task.step().spec().demand();
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
@@ -109,14 +109,34 @@
 			known.heard(this.state.steadyMillis());
 			return known;
 		}
-		if (known != null) {
-			this.state.explain("worker-reborn", "worker", known.target(), "life", life, "before", known.life());
-			closeAll(known);
-			this.state.workers().remove(known.target());
-		}
+		this.state.workers().remove(report.target());
+		Worker next = this.state.worker(report.target(), life);
+		next.obeys(report.epoch());
 		this.state.explain("worker-known", "worker", report.target(), "life", life, "zone", report.worker().zone(),
 				"rack", report.worker().rack(), "capacity", report.worker().capacity());
-		return this.state.worker(report.target(), life);
+		if (known != null) {
+			this.state.explain("worker-reborn", "worker", known.target(), "life", life, "before", known.life(), "runs",
+					known.runs().size());
+			List.copyOf(known.runs()).forEach((run) -> outlived(run, next));
+		}
+		return next;
+	}
+
+	// What ran in the former life is gone. But a call to begin a run may reach the worker
+	// seconds after it was given up, and a worker that came back under its name would
+	// carry
+	// it out, so that the task would run twice. The order to stop it there settles that:
+	// a
+	// run that was stopped is refused from then on.
+	private void outlived(Run run, Worker next) {
+		if (run.state() == Run.State.KEEPING) {
+			run.worker().remove(run);
+			this.ledger.close(run, RunEnding.LOST, "");
+			return;
+		}
+		run.moveTo(next);
+		run.stop();
+		this.ledger.orderStop(run);
 	}
 
 	private void running(Worker worker, WorkerReport.Running running) {
--- /dev/null
+++ b/core/src/test/java/org/almondmount/worker/WorkerKeeperTests.java
@@ -0,0 +1,126 @@
+package org.almondmount.worker;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import org.almondmount.worker.WorkerEvent.CallEnding;
+import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.TaskId;
+import org.almondmount.workflow.WorkerDescription;
+import org.almondmount.workflow.WorkerLife;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class WorkerKeeperTests {
+
+	private static final WorkerLife LIFE = new WorkerLife("w", 500);
+
+	private static final TaskId TASK = new TaskId("j", 0, 0, 0);
+
+	private final WorkerKeeper keeper = new WorkerKeeper("t", WorkerPolicy.DEFAULT);
+
+	private final List<WorkerCommand> commands = new ArrayList<>();
+
+	private long now = 10_000;
+
+	// The process has just started and heard of no holder. It looks at the worker to
+	// learn
+	// which life is there. A lease that it made up would let tasks run on that the holder
+	// believes gone, and they would run twice.
+	@Test
+	void aTargetWithoutAGrantRenewsNoLease() {
+		feed(new WorkerEvent.Tick());
+		answerLooks();
+		this.now += 2_000;
+		feed(new WorkerEvent.Tick());
+		assertThat(this.commands).filteredOn(WorkerCommand.Look.class::isInstance)
+			.allMatch((look) -> ((WorkerCommand.Look) look).leaseUntilMillis() == 0);
+	}
+
+	// A call that begins a run is not answered and the process is killed. The holder
+	// orders
+	// the run again; the new process knows nothing of the call, which the worker may
+	// still
+	// carry out. "Not begun" may only be said once the worker was told to stop the run.
+	@Test
+	void aRefusalIsToldOnlyAfterTheWorkerWasToldToStopTheRun() {
+		feed(new WorkerEvent.Tick());
+		answerLooks();
+		feed(new WorkerEvent.HolderFound(1));
+		feed(new WorkerEvent.Granted(1, 1, 6_000));
+		feed(new WorkerEvent.StartOrdered(1, 1, LIFE, TASK, 1, "program", ""));
+		assertThat(this.commands).noneMatch(WorkerCommand.SendNotBegun.class::isInstance);
+		assertThat(this.commands).anyMatch(WorkerCommand.Stop.class::isInstance);
+		feed(new WorkerEvent.StopEnded(TASK, 1, CallEnding.DONE));
+		answerLooks();
+		assertThat(this.commands).anyMatch(WorkerCommand.SendNotBegun.class::isInstance);
+	}
+
+	// The order lay in a connection that was cut; when it arrives the lease that was
+	// granted
+	// before it has run out, and the holder has started the task elsewhere.
+	@Test
+	void anOrderThatArrivesAfterItsLeaseBeginsNothing() {
+		ready();
+		this.now += 7_000;
+		feed(new WorkerEvent.StartOrdered(1, 1, LIFE, TASK, 1, "program", ""));
+		assertThat(this.commands).noneMatch(WorkerCommand.Start.class::isInstance);
+	}
+
+	@Test
+	void anOrderOfAnEarlierEpochBeginsNothing() {
+		ready();
+		feed(new WorkerEvent.HolderFound(2));
+		feed(new WorkerEvent.StartOrdered(1, 1, LIFE, TASK, 1, "program", ""));
+		assertThat(this.commands).noneMatch(WorkerCommand.Start.class::isInstance);
+	}
+
+	@Test
+	void aStartThatIsNotAnsweredIsSentAgain() {
+		ready();
+		feed(new WorkerEvent.StartOrdered(1, 1, LIFE, TASK, 1, "program", ""));
+		feed(new WorkerEvent.StartEnded(TASK, 1, CallEnding.UNANSWERED, "no answer"));
+		assertThat(this.commands).filteredOn(WorkerCommand.Start.class::isInstance).hasSize(2);
+	}
+
+	// Announcements overtake each other: an older one that says "ready" comes after the
+	// one
+	// that says "draining". Nothing may be started on a worker that leaves.
+	@Test
+	void aWorkerThatLeavesStaysLeavingInThisLife() {
+		ready();
+		feed(new WorkerEvent.Described(description(true)));
+		feed(new WorkerEvent.Described(description(false)));
+		feed(new WorkerEvent.StartOrdered(1, 1, LIFE, TASK, 1, "program", ""));
+		assertThat(this.commands).noneMatch(WorkerCommand.Start.class::isInstance);
+	}
+
+	private void ready() {
+		feed(new WorkerEvent.Tick());
+		feed(new WorkerEvent.Described(description(false)));
+		answerLooks();
+		feed(new WorkerEvent.HolderFound(1));
+		answerLooks();
+		feed(new WorkerEvent.Granted(1, 1, 6_000));
+	}
+
+	private static WorkerDescription description(boolean draining) {
+		return new WorkerDescription(LIFE, "pool", "zone", Set.of("r1-1"), new ResourceAmount(8_000, 8_000, 8),
+				draining, 0);
+	}
+
+	private void answerLooks() {
+		for (WorkerCommand command : List.copyOf(this.commands)) {
+			if (command instanceof WorkerCommand.Look look) {
+				feed(new WorkerEvent.Looked(look.look(), LIFE, 900, List.of(), List.of()));
+			}
+		}
+	}
+
+	private void feed(WorkerEvent event) {
+		this.commands.addAll(this.keeper.handle(this.now, event));
+	}
+
+}
--- a/fleet/src/main/java/org/almondmount/fleet/Loop.java
+++ b/fleet/src/main/java/org/almondmount/fleet/Loop.java
@@ -1,92 +1,61 @@
 package org.almondmount.fleet;
 
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import org.almondmount.duty.Duty;
 import org.almondmount.telemetry.EventLog;
 
 /**
- * The one thread on which a process decides, with its clocks and alarms. Thread-safe:
- * whatever arrives elsewhere is handed over through a bounded ring.
+ * Where a process decides, one thing after the other, with its clocks and alarms.
  */
-public final class Loop implements AutoCloseable {
+public interface Loop extends AutoCloseable {
 
-	private static final EventLog LOG = EventLog.of(Loop.class);
-
-	private static final int RING = 1 << 14;
-
-	private final Duty<Runnable> duty = new Duty<>("decisions", RING, Runnable::run,
-			(fault) -> LOG.fault("decision-fault", fault));
-
-	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor((work) -> {
-		Thread thread = new Thread(work, "timer");
-		thread.setDaemon(true);
-		return thread;
-	});
-
-	public void start() {
-		this.duty.start();
-	}
+	/** Begins to take work. */
+	void start();
 
 	/**
 	 * A clock that never jumps.
 	 * @return milliseconds since some moment
 	 */
-	public long steadyMillis() {
-		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-	}
+	long steadyMillis();
 
 	/**
-	 * Has something done on the thread.
+	 * The time of day, which may jump; for due times alone.
+	 * @return milliseconds since 1970
+	 */
+	long wallMillis();
+
+	/**
+	 * Has something done in its turn.
 	 * @param work what to do
-	 * @return false when the ring is full; then it is not done
+	 * @return false when too much waits; then it is not done
 	 */
-	public boolean run(Runnable work) {
-		if (this.duty.offer(work)) {
-			return true;
-		}
-		LOG.warn("ring-full", "waiting", this.duty.waiting());
-		return false;
-	}
+	boolean run(Runnable work);
 
 	/**
-	 * Has something done on the thread again and again.
+	 * Has something done again and again.
 	 * @param everyMillis the interval
 	 * @param work what to do
 	 */
-	public void every(long everyMillis, Runnable work) {
-		this.timer.scheduleWithFixedDelay(() -> run(work), everyMillis, everyMillis, TimeUnit.MILLISECONDS);
-	}
+	void every(long everyMillis, Runnable work);
 
 	/**
-	 * Has something done on the thread later.
+	 * Has something done later.
 	 * @param delayMillis after which time
 	 * @param work what to do
 	 */
-	public void after(long delayMillis, Runnable work) {
-		try {
-			this.timer.schedule(() -> run(work), delayMillis, TimeUnit.MILLISECONDS);
-		}
-		catch (RejectedExecutionException ex) {
-			LOG.info("alarm-dropped", "why", "the process is shutting down");
-		}
-	}
+	void after(long delayMillis, Runnable work);
 
 	/**
-	 * Has the outcome of something taken on the thread.
+	 * Has the outcome of something taken in its turn.
 	 * @param future completes elsewhere, never exceptionally
 	 * @param taker takes the value
 	 * @param <T> the value
 	 */
-	public <T> void then(CompletableFuture<T> future, Consumer<T> taker) {
+	default <T> void then(CompletableFuture<T> future, Consumer<T> taker) {
 		future.whenComplete((value, failure) -> {
 			if (failure != null) {
-				LOG.fault("future-failed", failure);
+				EventLog.of(Loop.class).fault("future-failed", failure);
 				return;
 			}
 			run(() -> taker.accept(value));
@@ -94,9 +63,6 @@
 	}
 
 	@Override
-	public void close() {
-		this.timer.shutdownNow();
-		this.duty.close();
-	}
+	void close();
 
 }
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -69,7 +69,7 @@
 
 	private final WireEndpoint wire;
 
-	private final Loop loop = new Loop();
+	private final Loop loop;
 
 	private final PeerInfo self;
 
@@ -99,16 +99,18 @@
 	 * @param store where rows lie
 	 * @param reader reads what operators declare
 	 * @param wire opens connections to peers
+	 * @param loop where it decides
 	 * @param telemetry the process's metrics
 	 */
-	public FleetEntry(FleetSettings settings, RowStore store, DeclarationReader reader, WireEndpoint wire,
+	public FleetEntry(FleetSettings settings, RowStore store, DeclarationReader reader, WireEndpoint wire, Loop loop,
 			Telemetry telemetry) {
+		this.loop = loop;
 		this.settings = settings;
 		this.store = store;
 		this.wire = wire;
-		String run = settings.name() + "-" + Long.toString(System.currentTimeMillis(), Character.MAX_RADIX);
+		String run = settings.name() + "-" + Long.toString(loop.wallMillis(), Character.MAX_RADIX);
 		this.self = new PeerInfo(PeerInfo.Role.ENTRY, run, settings.peerAddress(), settings.zone(), Optional.empty(), 0,
-				System.currentTimeMillis());
+				loop.wallMillis());
 		this.peers = new PeerLinks(settings.peerAddress(), this.loop, this::dial);
 		this.targets = new TargetLinks(this.peers::connectedAddresses);
 		this.term = new TermDriver(new TermSettings(run, settings.peerAddress(), settings.termLength().toMillis()),
--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -185,8 +185,7 @@
 	}
 
 	private void feed(WorkflowEvent event) {
-		WorkflowScheduler.Instant now = new WorkflowScheduler.Instant(this.loop.steadyMillis(),
-				System.currentTimeMillis());
+		WorkflowScheduler.Instant now = new WorkflowScheduler.Instant(this.loop.steadyMillis(), this.loop.wallMillis());
 		List<WorkflowCommand> commands = this.scheduler.handle(now, event);
 		commands.forEach(this::carryOut);
 	}
--- a/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
+++ b/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
@@ -53,7 +53,7 @@
 
 	private final Telemetry telemetry;
 
-	private final Loop loop = new Loop();
+	private final Loop loop;
 
 	private final PeerInfo self;
 
@@ -69,17 +69,19 @@
 	 * @param worker calls to its worker
 	 * @param store where entries are found
 	 * @param wire opens connections to entries
+	 * @param loop where it decides
 	 * @param telemetry the process's metrics
 	 */
-	public FleetTarget(FleetSettings settings, WorkerCalls worker, RowStore store, WireEndpoint wire,
+	public FleetTarget(FleetSettings settings, WorkerCalls worker, RowStore store, WireEndpoint wire, Loop loop,
 			Telemetry telemetry) {
+		this.loop = loop;
 		this.settings = settings;
 		this.worker = worker;
 		this.store = store;
 		this.wire = wire;
 		this.telemetry = telemetry;
 		this.self = new PeerInfo(PeerInfo.Role.TARGET, settings.name(), "", settings.zone(), Optional.empty(), 0,
-				System.currentTimeMillis());
+				loop.wallMillis());
 		this.keeper = new WorkerKeeper(settings.name(), WorkerPolicy.DEFAULT);
 	}
 
--- /dev/null
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/Checker.java
@@ -0,0 +1,207 @@
+package org.almondmount.fleet.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.almondmount.telemetry.EventLog;
+import org.almondmount.worker.WorkerCommand;
+import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.RunEnding;
+import org.almondmount.workflow.Step;
+import org.almondmount.workflow.TaskId;
+import org.almondmount.workflow.WorkerReport;
+import org.almondmount.workflow.Workflow;
+
+/**
+ * Watches what workers are told and do, and says which promise was broken. It sees only
+ * workers and callers, nothing inside the processes.
+ */
+final class Checker {
+
+	private static final EventLog LOG = EventLog.of(Checker.class);
+
+	private final VirtualTime time;
+
+	private final Map<String, Workflow> submitted = new HashMap<>();
+
+	private final Map<String, Long> runTimes = new HashMap<>();
+
+	private final Set<String> failing = new HashSet<>();
+
+	private final Set<TaskId> doneSeen = new HashSet<>();
+
+	private final Set<TaskId> doneAcknowledged = new HashSet<>();
+
+	private final Map<TaskId, Integer> failuresAcknowledged = new HashMap<>();
+
+	private final Map<TaskId, Map<Integer, SimWorker>> active = new HashMap<>();
+
+	private final Map<String, Map<TaskId, SimWorker>> gangs = new HashMap<>();
+
+	private final Map<String, Long> wholeSince = new HashMap<>();
+
+	private final Set<String> brokenGangs = new HashSet<>();
+
+	private final Map<SimWorker, ResourceAmount> used = new HashMap<>();
+
+	private final Map<String, Long> startedAt = new HashMap<>();
+
+	private final List<String> broken = new ArrayList<>();
+
+	Checker(VirtualTime time) {
+		this.time = time;
+	}
+
+	List<String> broken() {
+		return this.broken;
+	}
+
+	void submit(Workflow job, long runMillis, boolean fails) {
+		this.submitted.put(job.id(), job);
+		this.runTimes.put(job.id(), runMillis);
+		if (fails) {
+			this.failing.add(job.id());
+		}
+	}
+
+	boolean fails(String job) {
+		return this.failing.contains(job);
+	}
+
+	void started(SimWorker worker, WorkerCommand.Start start) {
+		TaskId task = start.task();
+		LOG.info("seen-start", "at", this.time.now(), "task", task, "run", start.run(), "worker", worker.name(),
+				"epoch", start.epoch());
+		Workflow job = this.submitted.get(task.job());
+		if (job == null || !job.program().equals(start.program())) {
+			this.broken.add(at() + "unasked: " + task + " was started and nobody asked for it");
+			return;
+		}
+		Step step = job.steps().get(task.step());
+		Map<Integer, SimWorker> runs = this.active.computeIfAbsent(task, (id) -> new HashMap<>());
+		if (!runs.isEmpty()) {
+			this.broken.add(at() + "twice: " + task + " run " + start.run() + " started on " + worker.name()
+					+ " while it runs on " + runs.values().iterator().next().name());
+		}
+		if (this.doneAcknowledged.contains(task)) {
+			this.broken.add(at() + "twice: " + task + " started after its end was acknowledged");
+		}
+		for (int earlier : step.after()) {
+			requireDone(job, task, earlier);
+		}
+		runs.put(start.run(), worker);
+		this.startedAt.put(task + "/" + start.run(), this.time.now());
+		ResourceAmount now = this.used.getOrDefault(worker, ResourceAmount.NONE).plus(step.demand());
+		this.used.put(worker, now);
+		if (!now.fitsIn(worker.capacity())) {
+			this.broken.add(at() + "limit: " + task + " brings " + worker.name() + " over its capacity");
+		}
+		if (step.gang()) {
+			Map<TaskId, SimWorker> members = this.gangs.computeIfAbsent(gang(task, start.run()),
+					(key) -> new HashMap<>());
+			members.put(task, worker);
+			if (members.size() == step.count()) {
+				this.wholeSince.put(gang(task, start.run()), this.time.now());
+			}
+		}
+	}
+
+	void ended(SimWorker worker, TaskId task, int run, RunEnding how) {
+		LOG.info("seen-end", "at", this.time.now(), "task", task, "run", run, "worker", worker.name(), "how", how);
+		leave(worker, task, run);
+		if (how == RunEnding.DONE) {
+			this.doneSeen.add(task);
+		}
+		if (step(task).gang() && how != RunEnding.DONE) {
+			this.brokenGangs.add(gang(task, run));
+			this.wholeSince.remove(gang(task, run));
+		}
+	}
+
+	void crashed(SimWorker worker) {
+		for (Map.Entry<TaskId, Map<Integer, SimWorker>> entry : Map.copyOf(this.active).entrySet()) {
+			Map.copyOf(entry.getValue()).forEach((run, where) -> {
+				if (where == worker) {
+					ended(worker, entry.getKey(), run, RunEnding.LOST);
+				}
+			});
+		}
+	}
+
+	void acknowledged(WorkerReport.Ended end) {
+		if (end.how() == RunEnding.DONE) {
+			this.doneAcknowledged.add(end.task());
+		}
+		if (end.how() == RunEnding.FAILED) {
+			this.failuresAcknowledged.merge(end.task(), 1, Integer::sum);
+		}
+	}
+
+	Work work(TaskId task, int run) {
+		Step step = step(task);
+		String gang = gang(task, run);
+		boolean whole = !step.gang() || this.wholeSince.containsKey(gang);
+		long since = step.gang() ? this.wholeSince.getOrDefault(gang, Long.MAX_VALUE)
+				: this.startedAt.get(task + "/" + run);
+		boolean over = whole && this.time.now() - since >= this.runTimes.get(task.job());
+		boolean bad = this.failing.contains(task.job());
+		return new Work(step.gang(), whole, this.brokenGangs.contains(gang), over && !bad, over && bad);
+	}
+
+	private void requireDone(Workflow job, TaskId task, int earlier) {
+		Step before = job.steps().get(earlier);
+		for (int index = 0; index < before.count(); index++) {
+			TaskId needed = new TaskId(task.job(), task.occurrence(), earlier, index);
+			boolean done = before.gang() ? anyDone(job, needed) : this.doneSeen.contains(needed);
+			if (!done) {
+				this.broken.add(at() + "order: " + task + " started before " + needed + " was done");
+				return;
+			}
+		}
+	}
+
+	private boolean anyDone(Workflow job, TaskId member) {
+		for (int index = 0; index < job.steps().get(member.step()).count(); index++) {
+			if (this.doneSeen.contains(new TaskId(member.job(), member.occurrence(), member.step(), index))) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private void leave(SimWorker worker, TaskId task, int run) {
+		Map<Integer, SimWorker> runs = this.active.get(task);
+		if (runs != null && runs.remove(run) != null) {
+			this.used.merge(worker, step(task).demand(), ResourceAmount::minus);
+		}
+	}
+
+	private Step step(TaskId task) {
+		return this.submitted.get(task.job()).steps().get(task.step());
+	}
+
+	private String at() {
+		return this.time.now() + " ";
+	}
+
+	private static String gang(TaskId task, int run) {
+		return task.job() + "." + task.occurrence() + "." + task.step() + "/" + run;
+	}
+
+	/**
+	 * How far a run is.
+	 *
+	 * @param gang whether it is a member of a gang
+	 * @param whole whether the gang is there
+	 * @param broken whether another member ended
+	 * @param finished whether its work is done
+	 * @param fails whether it fails now
+	 */
+	record Work(boolean gang, boolean whole, boolean broken, boolean finished, boolean fails) {
+	}
+
+}
--- /dev/null
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
@@ -0,0 +1,331 @@
+package org.almondmount.fleet.sim;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import org.almondmount.fleet.DeclarationReader;
+import org.almondmount.fleet.FleetSettings;
+import org.almondmount.fleet.JobAnswer;
+import org.almondmount.fleet.Submission;
+import org.almondmount.fleet.entry.FleetEntry;
+import org.almondmount.fleet.target.FleetTarget;
+import org.almondmount.telemetry.Telemetry;
+import org.almondmount.workflow.FleetConfiguration;
+import org.almondmount.workflow.FleetCustomer;
+import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.JobQueue;
+import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.Workflow;
+
+/**
+ * A small installation under a virtual clock.
+ */
+final class FleetWorld {
+
+	static final ResourceAmount CAPACITY = new ResourceAmount(32_000, 128_000, 8);
+
+	private static final long ANNOUNCE_MILLIS = 1_500;
+
+	private static final long RESTART_MILLIS = 600;
+
+	private static final String TABLE = "op";
+
+	private static final Duration LEASE = Duration.ofSeconds(6);
+
+	private final VirtualTime time = new VirtualTime();
+
+	private final Random random;
+
+	private final Checker checker = new Checker(this.time);
+
+	private final SimStore store;
+
+	private final SimWire wire = new SimWire(this.time);
+
+	private final Map<String, EntryProcess> entries = new LinkedHashMap<>();
+
+	private final Map<String, TargetProcess> targets = new LinkedHashMap<>();
+
+	private final Map<String, JobPhase> seen = new LinkedHashMap<>();
+
+	private final Set<String> accepted = new LinkedHashSet<>();
+
+	FleetWorld(long seed, int entryCount, int workerCount) {
+		this.random = new Random(seed);
+		this.store = new SimStore(this.time, this.random);
+		this.store.put(TABLE, "config", "1");
+		for (int i = 0; i < entryCount; i++) {
+			String name = "entry-" + i;
+			this.entries.put(name, new EntryProcess(name, 9_000 + i));
+		}
+		for (int i = 0; i < workerCount; i++) {
+			String name = "target-" + i;
+			SimWorker worker = new SimWorker(this.time, this.random, this.checker, "worker-" + i, "zone-" + i % 3,
+					"r1-" + i / 3, CAPACITY);
+			this.targets.put(name, new TargetProcess(name, worker));
+		}
+		this.entries.values().forEach((entry) -> this.time.after(this.random.nextInt(300), entry::start));
+		this.targets.values().forEach((target) -> this.time.after(this.random.nextInt(300), target::start));
+	}
+
+	Random random() {
+		return this.random;
+	}
+
+	VirtualTime time() {
+		return this.time;
+	}
+
+	Checker checker() {
+		return this.checker;
+	}
+
+	SimStore store() {
+		return this.store;
+	}
+
+	SimWire wire() {
+		return this.wire;
+	}
+
+	List<EntryProcess> entries() {
+		return List.copyOf(this.entries.values());
+	}
+
+	List<TargetProcess> targets() {
+		return List.copyOf(this.targets.values());
+	}
+
+	Set<String> accepted() {
+		return this.accepted;
+	}
+
+	Map<String, JobPhase> seen() {
+		return this.seen;
+	}
+
+	void runFor(long millis) {
+		this.time.runUntil(this.time.now() + millis);
+	}
+
+	void submit(Workflow job, long runMillis, boolean fails) {
+		this.checker.submit(job, runMillis, fails);
+		hand(job, 0);
+	}
+
+	void ask(String job) {
+		EntryProcess entry = anyEntry();
+		if (entry.loop.dead()) {
+			return;
+		}
+		entry.entry.phase(job, 2_000).thenAccept((answer) -> {
+			if (answer instanceof JobAnswer.Known known) {
+				this.seen.put(job, known.phase());
+			}
+			else if (answer instanceof JobAnswer.NoSuchJob && this.accepted.contains(job)) {
+				this.checker.broken().add(this.time.now() + " lost: " + job + " was accepted and is not known");
+			}
+		});
+	}
+
+	void cancel(String job) {
+		EntryProcess entry = anyEntry();
+		if (!entry.loop.dead()) {
+			entry.entry.cancel(job, 2_000);
+		}
+	}
+
+	private void hand(Workflow job, int tries) {
+		EntryProcess entry = anyEntry();
+		if (entry.loop.dead()) {
+			this.time.after(500, () -> hand(job, tries + 1));
+			return;
+		}
+		entry.entry.submit(job, 2_500).thenAccept((outcome) -> {
+			if (outcome == Submission.ACCEPTED) {
+				this.accepted.add(job.id());
+				if (this.random.nextInt(10) == 0) {
+					this.time.after(3_000, () -> hand(job, 100));
+				}
+			}
+			else if (tries < 8) {
+				this.time.after(500, () -> hand(job, tries + 1));
+			}
+		});
+	}
+
+	private EntryProcess anyEntry() {
+		List<EntryProcess> all = entries();
+		return all.get(this.random.nextInt(all.size()));
+	}
+
+	/**
+	 * One entry with its restarts.
+	 */
+	final class EntryProcess {
+
+		private final String name;
+
+		private final int port;
+
+		private VirtualLoop loop;
+
+		private SimWire.Endpoint endpoint;
+
+		private SimStore.Client client;
+
+		private FleetEntry entry;
+
+		EntryProcess(String name, int port) {
+			this.name = name;
+			this.port = port;
+			this.loop = new VirtualLoop(FleetWorld.this.time);
+			this.loop.kill();
+		}
+
+		String name() {
+			return this.name;
+		}
+
+		void start() {
+			this.loop = new VirtualLoop(FleetWorld.this.time);
+			this.endpoint = FleetWorld.this.wire.endpoint(this.name);
+			this.client = FleetWorld.this.store.client();
+			FleetSettings settings = new FleetSettings(this.name, "zone-0",
+					new InetSocketAddress("127.0.0.1", this.port), "key", LEASE, Duration.ofMillis(2_400),
+					Duration.ofSeconds(5));
+			this.entry = new FleetEntry(settings, this.client, new Declared(), this.endpoint, this.loop,
+					new Telemetry());
+			this.entry.start();
+		}
+
+		void kill() {
+			if (this.loop.dead()) {
+				return;
+			}
+			this.loop.kill();
+			this.endpoint.kill();
+			FleetWorld.this.time.after(RESTART_MILLIS, this::start);
+		}
+
+		void pause(long millis) {
+			this.loop.pause(millis);
+		}
+
+		void cutFromStore(long millis) {
+			SimStore.Client cut = this.client;
+			if (cut != null) {
+				cut.cut(true);
+				FleetWorld.this.time.after(millis, () -> cut.cut(false));
+			}
+		}
+
+		void cut(long millis) {
+			FleetWorld.this.wire.cut(this.name, millis);
+		}
+
+	}
+
+	/**
+	 * One target with its restarts, and the worker beside it.
+	 */
+	final class TargetProcess {
+
+		private final String name;
+
+		private final SimWorker worker;
+
+		private VirtualLoop loop;
+
+		private SimWire.Endpoint endpoint;
+
+		private FleetTarget target;
+
+		TargetProcess(String name, SimWorker worker) {
+			this.name = name;
+			this.worker = worker;
+			this.loop = new VirtualLoop(FleetWorld.this.time);
+			this.loop.kill();
+			announce();
+		}
+
+		SimWorker worker() {
+			return this.worker;
+		}
+
+		void start() {
+			this.loop = new VirtualLoop(FleetWorld.this.time);
+			this.endpoint = FleetWorld.this.wire.endpoint(this.name);
+			FleetSettings settings = new FleetSettings(this.name, "zone-0", new InetSocketAddress("127.0.0.1", 1),
+					"key", LEASE, Duration.ofMillis(2_400), Duration.ofSeconds(5));
+			this.target = new FleetTarget(settings, this.worker, FleetWorld.this.store.client(), this.endpoint,
+					this.loop, new Telemetry());
+			this.target.start();
+		}
+
+		void kill() {
+			if (this.loop.dead()) {
+				return;
+			}
+			this.loop.kill();
+			this.endpoint.kill();
+			FleetWorld.this.time.after(RESTART_MILLIS, this::start);
+		}
+
+		void pause(long millis) {
+			this.loop.pause(millis);
+		}
+
+		void cut(long millis) {
+			FleetWorld.this.wire.cut(this.name, millis);
+		}
+
+		private void announce() {
+			if (!this.loop.dead()) {
+				this.target.described(this.worker.describe());
+			}
+			FleetWorld.this.time.after(ANNOUNCE_MILLIS, this::announce);
+		}
+
+	}
+
+	/**
+	 * What operators declared, as this world writes it.
+	 */
+	private static final class Declared implements DeclarationReader {
+
+		@Override
+		public String table() {
+			return TABLE;
+		}
+
+		@Override
+		public Optional<FleetConfiguration> configuration(Map<String, String> rows) {
+			if (!rows.containsKey("config")) {
+				return Optional.empty();
+			}
+			List<JobQueue> queues = new ArrayList<>();
+			for (int priority = 0; priority < 3; priority++) {
+				queues.add(new JobQueue("q" + priority, "host", "/q" + priority + "/", "pool", priority, 2, 3, 1_000,
+						false, false));
+			}
+			return Optional.of(new FleetConfiguration(Long.parseLong(rows.get("config")), queues, List.of("pool"),
+					List.of(new FleetCustomer("one", Set.of("k1"), 16), new FleetCustomer("two", Set.of("k2"), 8))));
+		}
+
+		@Override
+		public Set<String> zonesOut(Map<String, String> rows) {
+			return Set.of();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
@@ -0,0 +1,141 @@
+package org.almondmount.fleet.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.LongStream;
+
+import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.Step;
+import org.almondmount.workflow.Workflow;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Whole installations through random troubles. Whatever happens, no task runs twice or
+ * out of order, no worker is filled over its capacity, nothing runs that nobody asked
+ * for; and once the troubles are over every accepted job comes to its end.
+ */
+class RandomTroubleTests {
+
+	private static final int SEEDS = Integer.getInteger("almondmount.seeds", 60);
+
+	private static final long FIRST_SEED = Long.getLong("almondmount.firstSeed", 1);
+
+	private static final long TROUBLE_MILLIS = 30_000;
+
+	private static final long QUIET_MILLIS = 60_000;
+
+	static LongStream seeds() {
+		return LongStream.range(FIRST_SEED, FIRST_SEED + SEEDS);
+	}
+
+	@Test
+	void aCalmDayBringsEveryJobToItsEnd() {
+		FleetWorld world = new FleetWorld(7, 3, 6);
+		world.runFor(3_000);
+		List<Workflow> jobs = submitSome(world, 12);
+		world.runFor(40_000);
+		askAll(world, jobs);
+		assertThat(world.checker().broken()).isEmpty();
+		assertThat(world.accepted()).hasSize(jobs.size());
+		for (Workflow job : jobs) {
+			JobPhase expected = world.checker().fails(job.id()) ? JobPhase.FAILED : JobPhase.COMPLETED;
+			assertThat(world.seen().get(job.id())).as(job.id()).isEqualTo(expected);
+		}
+	}
+
+	@ParameterizedTest
+	@MethodSource("seeds")
+	void noPromiseIsBrokenThroughTroublesAndEveryJobEnds(long seed) {
+		FleetWorld world = new FleetWorld(seed, 3, 5);
+		world.runFor(2_000);
+		List<Workflow> jobs = new ArrayList<>();
+		long until = world.time().now() + TROUBLE_MILLIS;
+		while (world.time().now() < until) {
+			jobs.addAll(submitSome(world, 1 + world.random().nextInt(2)));
+			trouble(world);
+			world.runFor(300 + world.random().nextInt(2_500));
+			world.ask(jobs.get(world.random().nextInt(jobs.size())).id());
+		}
+		calm(world);
+		world.runFor(QUIET_MILLIS);
+		askAll(world, jobs);
+		assertThat(world.checker().broken()).isEmpty();
+		for (String job : world.accepted()) {
+			assertThat(world.seen().get(job)).as(job).isNotNull().matches(JobPhase::over);
+		}
+	}
+
+	private static void trouble(FleetWorld world) {
+		Random random = world.random();
+		FleetWorld.EntryProcess entry = world.entries().get(random.nextInt(world.entries().size()));
+		FleetWorld.TargetProcess target = world.targets().get(random.nextInt(world.targets().size()));
+		long millis = 200 + random.nextInt(9_000);
+		switch (random.nextInt(12)) {
+			case 0 -> entry.kill();
+			case 1 -> entry.pause(millis);
+			case 2 -> entry.cutFromStore(millis);
+			case 3 -> entry.cut(millis);
+			case 4 -> target.kill();
+			case 5 -> target.pause(millis);
+			case 6 -> target.cut(millis);
+			case 7 -> target.worker().crash();
+			case 8 -> target.worker().lose(random.nextDouble() / 2);
+			case 9 -> world.store().lose(random.nextDouble() / 2);
+			case 10 -> {
+				world.store().away(true);
+				world.time().after(Math.min(millis, 4_000), () -> world.store().away(false));
+			}
+			default -> {
+				world.entries().forEach(FleetWorld.EntryProcess::kill);
+				world.targets().forEach(FleetWorld.TargetProcess::kill);
+			}
+		}
+	}
+
+	private static void calm(FleetWorld world) {
+		world.store().lose(0);
+		world.targets().forEach((target) -> target.worker().lose(0));
+	}
+
+	private static void askAll(FleetWorld world, List<Workflow> jobs) {
+		for (int round = 0; round < 3; round++) {
+			jobs.forEach((job) -> world.ask(job.id()));
+			world.runFor(3_000);
+		}
+	}
+
+	private static List<Workflow> submitSome(FleetWorld world, int count) {
+		List<Workflow> jobs = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			Workflow job = job(world);
+			jobs.add(job);
+			world.submit(job, 500 + world.random().nextInt(5_000), world.random().nextInt(12) == 0);
+		}
+		return jobs;
+	}
+
+	private static Workflow job(FleetWorld world) {
+		Random random = world.random();
+		String id = String.format("%016x", random.nextLong());
+		int queue = random.nextInt(3);
+		List<Step> steps = new ArrayList<>();
+		int count = 1 + random.nextInt(2);
+		for (int number = 0; number < count; number++) {
+			boolean gang = random.nextBoolean();
+			ResourceAmount demand = new ResourceAmount(1_000L * (1 + random.nextInt(8)),
+					1_000L * (1 + random.nextInt(40)), 1 + random.nextInt(4));
+			Step.Placement placement = new Step.Placement("", "", gang && random.nextBoolean(), 0);
+			steps.add(new Step(1 + random.nextInt(4), demand, 1_000, (number > 0) ? List.of(number - 1) : List.of(),
+					random.nextBoolean(), gang, placement, false, Step.ServiceTerms.NONE));
+		}
+		return new Workflow(id, "q" + queue, random.nextBoolean() ? "one" : "two", "program of " + id, steps,
+				Workflow.Schedule.ONCE, world.time().now());
+	}
+
+}
--- /dev/null
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimStore.java
@@ -0,0 +1,171 @@
+package org.almondmount.fleet.sim;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import org.almondmount.rows.RowStore;
+
+/**
+ * The rows of a simulated store. Each process has a {@link Client} of its own, which can
+ * be cut off.
+ */
+final class SimStore {
+
+	private static final long ANSWER_MILLIS = 4;
+
+	private static final long TIMEOUT_MILLIS = 1_000;
+
+	private static final long LATEST_MILLIS = 6_000;
+
+	private final VirtualTime time;
+
+	private final Random random;
+
+	private final TreeMap<String, RowStore.Row> rows = new TreeMap<>();
+
+	private long version;
+
+	/** Share of commits whose answer is lost; half of those are carried out late. */
+	private double lost;
+
+	private boolean away;
+
+	SimStore(VirtualTime time, Random random) {
+		this.time = time;
+		this.random = random;
+	}
+
+	void lose(double share) {
+		this.lost = share;
+	}
+
+	void away(boolean gone) {
+		this.away = gone;
+	}
+
+	void put(String table, String key, String value) {
+		this.version++;
+		write(new RowStore.Write(new RowStore.Place(table, key), Optional.ofNullable(value)));
+	}
+
+	Client client() {
+		return new Client();
+	}
+
+	private RowStore.Commit apply(List<RowStore.Condition> conditions, List<RowStore.Write> writes) {
+		List<RowStore.Row> current = new ArrayList<>();
+		boolean holds = true;
+		for (RowStore.Condition condition : conditions) {
+			RowStore.Row row = this.rows.get(key(condition.place()));
+			boolean there = row != null && row.value().isPresent();
+			holds &= (there ? row.version() : 0) == condition.version();
+			if (there) {
+				current.add(row);
+			}
+		}
+		if (!holds) {
+			return new RowStore.Commit.Conflict(current);
+		}
+		this.version++;
+		writes.forEach(this::write);
+		return new RowStore.Commit.Committed(this.version);
+	}
+
+	private void write(RowStore.Write write) {
+		this.rows.put(key(write.place()), new RowStore.Row(write.place(), this.version, write.value()));
+	}
+
+	private static String key(RowStore.Place place) {
+		return place.table() + "\t" + place.key();
+	}
+
+	/**
+	 * The store as one process sees it.
+	 */
+	final class Client implements RowStore {
+
+		private boolean cut;
+
+		void cut(boolean off) {
+			this.cut = off;
+		}
+
+		@Override
+		public CompletableFuture<Commit> commit(List<Condition> conditions, List<Write> writes) {
+			CompletableFuture<Commit> answer = new CompletableFuture<>();
+			if (this.cut) {
+				SimStore.this.time.after(TIMEOUT_MILLIS, () -> answer.complete(new Commit.Unanswered("cut")));
+				return answer;
+			}
+			if (SimStore.this.away) {
+				SimStore.this.time.after(ANSWER_MILLIS, () -> answer.complete(new Commit.Refused("away")));
+				return answer;
+			}
+			boolean silent = SimStore.this.random.nextDouble() < SimStore.this.lost;
+			if (silent) {
+				long late = SimStore.this.random.nextBoolean() ? ANSWER_MILLIS
+						: SimStore.this.random.nextLong(LATEST_MILLIS);
+				SimStore.this.time.after(late, () -> apply(conditions, writes));
+				SimStore.this.time.after(TIMEOUT_MILLIS, () -> answer.complete(new Commit.Unanswered("lost")));
+				return answer;
+			}
+			SimStore.this.time.after(ANSWER_MILLIS / 2, () -> {
+				Commit ending = apply(conditions, writes);
+				SimStore.this.time.after(ANSWER_MILLIS / 2, () -> answer.complete(ending));
+			});
+			return answer;
+		}
+
+		@Override
+		public CompletableFuture<Read> read(String table, String from, int limit) {
+			CompletableFuture<Read> answer = new CompletableFuture<>();
+			if (this.cut || SimStore.this.away) {
+				SimStore.this.time.after(TIMEOUT_MILLIS, () -> answer.complete(new Read.Unavailable("cut")));
+				return answer;
+			}
+			SimStore.this.time.after(ANSWER_MILLIS, () -> {
+				List<Row> found = new ArrayList<>();
+				for (Row row : SimStore.this.rows.tailMap(table + "\t" + from).values()) {
+					if (row.place().table().equals(table) && row.value().isPresent() && found.size() < limit) {
+						found.add(row);
+					}
+				}
+				answer.complete(new Read.Found(found, false, SimStore.this.version));
+			});
+			return answer;
+		}
+
+		@Override
+		public CompletableFuture<Changes> changes(String table, long after, Duration wait) {
+			CompletableFuture<Changes> answer = new CompletableFuture<>();
+			look(table, after, SimStore.this.time.now() + wait.toMillis(), answer);
+			return answer;
+		}
+
+		private void look(String table, long after, long until, CompletableFuture<Changes> answer) {
+			if (this.cut || SimStore.this.away) {
+				SimStore.this.time.after(TIMEOUT_MILLIS, () -> answer.complete(new Changes.Unavailable("cut")));
+				return;
+			}
+			List<Row> changed = new ArrayList<>();
+			for (Row row : SimStore.this.rows.values()) {
+				if (row.place().table().equals(table) && row.version() > after) {
+					changed.add(row);
+				}
+			}
+			if (!changed.isEmpty() || SimStore.this.time.now() >= until) {
+				long newest = SimStore.this.version;
+				SimStore.this.time.after(ANSWER_MILLIS, () -> answer.complete(new Changes.Found(changed, newest)));
+				return;
+			}
+			SimStore.this.time.after(ANSWER_MILLIS * 5, () -> look(table, after, until, answer));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimWorker.java
@@ -0,0 +1,278 @@
+package org.almondmount.fleet.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import org.almondmount.fleet.WorkerCalls;
+import org.almondmount.worker.WorkerCommand;
+import org.almondmount.worker.WorkerEvent;
+import org.almondmount.worker.WorkerEvent.CallEnding;
+import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.RunEnding;
+import org.almondmount.workflow.TaskId;
+import org.almondmount.workflow.WorkerDescription;
+import org.almondmount.workflow.WorkerLife;
+import org.almondmount.workflow.WorkerReport;
+
+/**
+ * A worker that starts whatever it is told to, as its lease and fence allow. Calls may
+ * lose their answers, and be carried out seconds later.
+ */
+final class SimWorker implements WorkerCalls {
+
+	private static final long TIMEOUT_MILLIS = 300;
+
+	private static final long LATEST_MILLIS = 8_000;
+
+	private static final long STOP_MILLIS = 150;
+
+	private static final long GANG_MILLIS = 3_000;
+
+	private static final long TICK_MILLIS = 20;
+
+	private final VirtualTime time;
+
+	private final Random random;
+
+	private final Checker checker;
+
+	private final String name;
+
+	private final String zone;
+
+	private final String rack;
+
+	private final ResourceAmount capacity;
+
+	private final Map<String, Active> running = new LinkedHashMap<>();
+
+	private final Map<TaskId, Integer> highestEnded = new HashMap<>();
+
+	private final TreeMap<Long, WorkerReport.Ended> ended = new TreeMap<>();
+
+	private final Map<Long, Long> endedAt = new HashMap<>();
+
+	private long lapsedAt;
+
+	private long born;
+
+	private long endNumber;
+
+	private long fence;
+
+	private long leaseUntil;
+
+	private boolean draining;
+
+	private double unanswered;
+
+	SimWorker(VirtualTime time, Random random, Checker checker, String name, String zone, String rack,
+			ResourceAmount capacity) {
+		this.time = time;
+		this.random = random;
+		this.checker = checker;
+		this.name = name;
+		this.zone = zone;
+		this.rack = rack;
+		this.capacity = capacity;
+		this.born = time.now();
+		tick();
+	}
+
+	WorkerLife life() {
+		return new WorkerLife(this.name, this.born);
+	}
+
+	String name() {
+		return this.name;
+	}
+
+	ResourceAmount capacity() {
+		return this.capacity;
+	}
+
+	WorkerDescription describe() {
+		return new WorkerDescription(life(), "pool", this.zone, Set.of(this.rack, "a"), this.capacity, this.draining,
+				0);
+	}
+
+	void lose(double share) {
+		this.unanswered = share;
+	}
+
+	void crash() {
+		this.checker.crashed(this);
+		this.running.clear();
+		this.ended.clear();
+		this.highestEnded.clear();
+		this.endNumber = 0;
+		this.endedAt.clear();
+		this.fence = 0;
+		this.leaseUntil = 0;
+		this.born = this.time.now();
+	}
+
+	@Override
+	public CompletableFuture<WorkerEvent> look(WorkerCommand.Look look) {
+		CompletableFuture<WorkerEvent> answer = new CompletableFuture<>();
+		boolean other = !look.life().worker().isEmpty() && !look.life().worker().equals(this.name);
+		if (other) {
+			answer.complete(new WorkerEvent.LookFailed(look.look(), "another life"));
+			return answer;
+		}
+		this.time.after(1, () -> answerLook(look, this.time.now() + look.waitMillis(), answer, true));
+		return answer;
+	}
+
+	@Override
+	public CompletableFuture<WorkerEvent.StartEnded> start(WorkerCommand.Start start) {
+		CompletableFuture<WorkerEvent.StartEnded> answer = new CompletableFuture<>();
+		long meant = this.born;
+		perform(() -> {
+			String refusal = (meant == this.born) ? begin(start) : "another life";
+			CallEnding ending = refusal.isEmpty() ? CallEnding.DONE : CallEnding.REFUSED;
+			answer.complete(new WorkerEvent.StartEnded(start.task(), start.run(), ending, refusal));
+		}, () -> answer
+			.complete(new WorkerEvent.StartEnded(start.task(), start.run(), CallEnding.UNANSWERED, "no answer")));
+		return answer;
+	}
+
+	@Override
+	public CompletableFuture<WorkerEvent.StopEnded> stop(WorkerCommand.Stop stop) {
+		CompletableFuture<WorkerEvent.StopEnded> answer = new CompletableFuture<>();
+		long meant = this.born;
+		perform(() -> {
+			CallEnding ending = (meant == this.born && end(stop)) ? CallEnding.DONE : CallEnding.REFUSED;
+			answer.complete(new WorkerEvent.StopEnded(stop.task(), stop.run(), ending));
+		}, () -> answer.complete(new WorkerEvent.StopEnded(stop.task(), stop.run(), CallEnding.UNANSWERED)));
+		return answer;
+	}
+
+	private void perform(Runnable call, Runnable lost) {
+		if (this.random.nextDouble() < this.unanswered) {
+			this.time.after(this.random.nextBoolean() ? 1 : this.random.nextLong(LATEST_MILLIS), call);
+			this.time.after(TIMEOUT_MILLIS, lost);
+			return;
+		}
+		this.time.after(1, call);
+	}
+
+	private String begin(WorkerCommand.Start start) {
+		if (start.epoch() < this.fence) {
+			return "fence";
+		}
+		this.fence = Math.max(this.fence, start.epoch());
+		this.leaseUntil = Math.max(this.leaseUntil, start.leaseUntilMillis());
+		String key = start.task() + "/" + start.run();
+		if (this.running.containsKey(key)) {
+			return "";
+		}
+		if (start.run() <= this.highestEnded.getOrDefault(start.task(), 0)) {
+			return "old";
+		}
+		if (start.leaseUntilMillis() <= this.time.now()) {
+			return "late";
+		}
+		this.running.put(key, new Active(start.task(), start.run(), this.time.now()));
+		this.checker.started(this, start);
+		return "";
+	}
+
+	private boolean end(WorkerCommand.Stop stop) {
+		if (stop.epoch() < this.fence) {
+			return false;
+		}
+		this.fence = Math.max(this.fence, stop.epoch());
+		this.highestEnded.merge(stop.task(), stop.run(), Math::max);
+		this.time.after(STOP_MILLIS, () -> finish(stop.task() + "/" + stop.run(), RunEnding.STOPPED));
+		return true;
+	}
+
+	private void answerLook(WorkerCommand.Look look, long until, CompletableFuture<WorkerEvent> answer, boolean first) {
+		if (first) {
+			boolean obeyed = look.epoch() >= this.fence;
+			this.fence = Math.max(this.fence, look.epoch());
+			if (obeyed && look.life().equals(life())) {
+				this.leaseUntil = Math.max(this.leaseUntil, look.leaseUntilMillis());
+				this.ended.headMap(look.acknowledged(), true).values().forEach(this::acknowledged);
+				this.ended.headMap(look.acknowledged(), true).clear();
+			}
+		}
+		if (this.time.now() < until && this.ended.isEmpty()) {
+			this.time.after(TICK_MILLIS, () -> answerLook(look, until, answer, false));
+			return;
+		}
+		List<WorkerReport.Running> runs = new ArrayList<>();
+		this.running.values().forEach((run) -> runs.add(new WorkerReport.Running(run.task, run.run, "", 0)));
+		answer.complete(
+				new WorkerEvent.Looked(look.look(), life(), this.time.now(), runs, List.copyOf(this.ended.values())));
+	}
+
+	// An end after which the lease ran out does not count: whoever ordered the run had
+	// given
+	// it up by then and may have started the task again.
+	private void acknowledged(WorkerReport.Ended end) {
+		if (this.endedAt.getOrDefault(end.number(), 0L) > this.lapsedAt) {
+			this.checker.acknowledged(end);
+		}
+	}
+
+	private void tick() {
+		if (this.time.now() >= this.leaseUntil) {
+			this.lapsedAt = this.time.now();
+			List.copyOf(this.running.keySet()).forEach((key) -> finish(key, RunEnding.LAPSED));
+		}
+		for (Map.Entry<String, Active> entry : List.copyOf(this.running.entrySet())) {
+			if (!this.running.containsKey(entry.getKey())) {
+				continue;
+			}
+			progress(entry.getKey(), entry.getValue());
+		}
+		this.time.after(TICK_MILLIS, this::tick);
+	}
+
+	private void progress(String key, Active run) {
+		Checker.Work work = this.checker.work(run.task, run.run);
+		if (work.gang() && !work.whole()) {
+			if (work.broken()) {
+				finish(key, RunEnding.BROKEN);
+			}
+			else if (this.time.now() - run.since >= GANG_MILLIS) {
+				finish(key, RunEnding.ALONE);
+			}
+			return;
+		}
+		if (work.fails()) {
+			finish(key, RunEnding.FAILED);
+		}
+		else if (work.finished()) {
+			finish(key, RunEnding.DONE);
+		}
+	}
+
+	private void finish(String key, RunEnding how) {
+		Active run = this.running.remove(key);
+		if (run == null) {
+			return;
+		}
+		this.highestEnded.merge(run.task, run.run, Math::max);
+		WorkerReport.Ended end = new WorkerReport.Ended(++this.endNumber, run.task, run.run, how, "");
+		this.ended.put(end.number(), end);
+		this.endedAt.put(end.number(), this.time.now());
+		this.checker.ended(this, run.task, run.run, how);
+	}
+
+	/**
+	 * A run on this worker.
+	 */
+	private record Active(TaskId task, int run, long since) {
+	}
+
+}
