A holder whom the store turns away hands the term over; the store is waited for as long as it usually takes

Ruled out: a shorter term alone (a slow store takes 300 ms an answer). Change: after 600 ms without a commit the holder gives the term up and says so; so does one that is told to end; a peer that finds nobody listening at the holder's address knows that it is gone.

--- a/core/src/main/java/org/almondmount/term/TermCommand.java
+++ b/core/src/main/java/org/almondmount/term/TermCommand.java
@@ -36,8 +36,8 @@
 	record HolderSeen(TermRow row) implements TermCommand {
 	}
 
-	/** The term was given up, or was not held. */
-	record Released() implements TermCommand {
+	/** The term of that epoch was given up; 0 where none was held. */
+	record Released(long epoch) implements TermCommand {
 	}
 
 }
--- a/core/src/main/java/org/almondmount/term/TermEvent.java
+++ b/core/src/main/java/org/almondmount/term/TermEvent.java
@@ -40,6 +40,17 @@
 	record HolderHeard(long epoch) implements TermEvent {
 	}
 
+	/**
+	 * The holder of that epoch, or of an earlier one, surely decides nothing any more: it
+	 * said so, or its process is gone.
+	 */
+	record HolderQuit(long epoch) implements TermEvent {
+	}
+
+	/** The connection to the holder is lost; nothing is known of it. */
+	record HolderLost() implements TermEvent {
+	}
+
 	/** Commit something together with the row, under this term. */
 	record Save(long sequence) implements TermEvent {
 	}
--- a/core/src/main/java/org/almondmount/term/TermKeeper.java
+++ b/core/src/main/java/org/almondmount/term/TermKeeper.java
@@ -28,6 +28,13 @@
 
 	private final TermSettings settings;
 
+	/**
+	 * A holder whose commits take no effect for so long gives the term up, in
+	 * milliseconds: the store may turn away this entry alone. An answer takes 4 ms, of a
+	 * slow store 300.
+	 */
+	private static final long HAND_OVER_MILLIS = 600;
+
 	private List<TermCommand> commands = new ArrayList<>();
 
 	private Optional<TermRow> row = Optional.empty();
@@ -60,6 +67,8 @@
 
 	private long wantedSave;
 
+	private long quitEpoch;
+
 	private boolean releasing;
 
 	private boolean released;
@@ -124,6 +133,13 @@
 		else if (event instanceof TermEvent.HolderHeard heard) {
 			holderHeard(now, heard.epoch());
 		}
+		else if (event instanceof TermEvent.HolderQuit quit) {
+			holderQuit(now, quit.epoch());
+		}
+		else if (event instanceof TermEvent.HolderLost) {
+			this.holderHeardAt = Long.MIN_VALUE;
+			this.nextLook = now;
+		}
 		else if (event instanceof TermEvent.Save save) {
 			this.wantedSave = save.sequence();
 		}
@@ -138,6 +154,16 @@
 		}
 	}
 
+	private void holderQuit(long now, long epochLeft) {
+		if (epochLeft <= this.quitEpoch || this.epoch > epochLeft) {
+			return;
+		}
+		this.quitEpoch = epochLeft;
+		this.holderHeardAt = Long.MIN_VALUE;
+		this.looked = false;
+		this.nextLook = now;
+	}
+
 	private void observe(long now, Optional<TermRow> read, long readVersion) {
 		this.looked = true;
 		if (readVersion != this.version) {
@@ -161,7 +187,8 @@
 		this.unchangedSince = now;
 		if (done.row().released()) {
 			this.released = true;
-			this.commands.add(new TermCommand.Released());
+			this.epoch = 0;
+			this.commands.add(new TermCommand.Released(done.row().epoch()));
 			return;
 		}
 		long until = this.sentAt + this.settings.validForMillis();
@@ -235,7 +262,7 @@
 		}
 		if (this.releasing) {
 			this.released = true;
-			this.commands.add(new TermCommand.Released());
+			this.commands.add(new TermCommand.Released(0));
 			return;
 		}
 		if (!this.inFlight) {
@@ -243,12 +270,24 @@
 		}
 	}
 
+	// Others who reach the store take the term at once when they are told; this entry
+	// looks
+	// at it a little later, in case that nobody reaches the store.
+	private void handOver(long now) {
+		this.quitEpoch = this.epoch;
+		end("the store does not take this entry's commits");
+		this.nextLook = now + this.settings.lookEveryMillis();
+	}
+
 	private void hold(long now) {
 		if (this.inFlight) {
 			return;
 		}
 		if (this.pending.isPresent()) {
-			if (now >= this.resendAt) {
+			if (now - this.sentAt >= HAND_OVER_MILLIS) {
+				handOver(now);
+			}
+			else if (now >= this.resendAt) {
 				send(now, this.pending.get(), false);
 			}
 			return;
@@ -287,7 +326,8 @@
 		// The same address means the same VM: the process that wrote the row is gone,
 		// since
 		// this one listens there now.
-		return current.released() || isOwn(current) || current.address().equals(this.settings.address())
+		return current.released() || isOwn(current) || current.epoch() <= this.quitEpoch
+				|| current.address().equals(this.settings.address())
 				|| now - this.unchangedSince >= current.lengthMillis();
 	}
 
--- /dev/null
+++ b/fleet/src/main/java/org/almondmount/fleet/StorePatience.java
@@ -0,0 +1,76 @@
+package org.almondmount.fleet;
+
+import java.time.Duration;
+
+/**
+ * How long a process waits for the store, learnt from how long it took. Not thread-safe:
+ * belongs to one loop.
+ * <p>
+ * A lost answer is found out by waiting. With a fixed time either a lost answer costs a
+ * second, or a store that has become slow is never waited for: every call would be given
+ * up and sent again, which makes it slower still. So the time follows the answers and
+ * doubles with each one that does not come.
+ */
+public final class StorePatience {
+
+	/** Nothing shorter: a process may be held up itself for so long, in milliseconds. */
+	private static final double SHORTEST_MILLIS = 150;
+
+	/** Nothing longer: half of the three seconds that most callers give. */
+	private static final double LONGEST_MILLIS = 1_200;
+
+	/** Answers come within six times the usual but for one in some thousand. */
+	private static final double TIMES_THE_USUAL = 6;
+
+	private static final double WEIGHT_OF_THE_LAST = 0.3;
+
+	private static final int MOST_DOUBLINGS = 3;
+
+	private double usualMillis = SHORTEST_MILLIS / TIMES_THE_USUAL;
+
+	private int silences;
+
+	private boolean answering = true;
+
+	private long lastSilence;
+
+	/**
+	 * How long to wait for the next answer.
+	 * @return the time
+	 */
+	public Duration timeout() {
+		double millis = Math.max(SHORTEST_MILLIS, this.usualMillis * TIMES_THE_USUAL) * (1 << this.silences);
+		return Duration.ofMillis((long) Math.min(LONGEST_MILLIS, millis));
+	}
+
+	/**
+	 * An answer came.
+	 * @param millis after which time
+	 */
+	public void answered(long millis) {
+		this.usualMillis += WEIGHT_OF_THE_LAST * (millis - this.usualMillis);
+		this.silences = 0;
+		this.answering = true;
+	}
+
+	/**
+	 * No answer came.
+	 * @param now the steady clock
+	 */
+	public void silent(long now) {
+		this.silences = Math.min(MOST_DOUBLINGS, this.silences + 1);
+		this.answering = false;
+		this.lastSilence = now;
+	}
+
+	/**
+	 * Whether a call would probably not be answered: the last one was not.
+	 * @param now the steady clock
+	 * @param probeEveryMillis after which time one call is let through again
+	 * @return whether calls had better not be sent
+	 */
+	public boolean expectsSilence(long now, long probeEveryMillis) {
+		return !this.answering && now - this.lastSilence < probeEveryMillis;
+	}
+
+}
--- a/fleet/src/main/java/org/almondmount/fleet/entry/DeclaredState.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/DeclaredState.java
@@ -37,6 +37,9 @@
 
 	private static final int PAGE = 500;
 
+	/** A page of rows is larger than other answers. */
+	private static final Duration PAGE_TIMEOUT = Duration.ofMillis(1_000);
+
 	private final RowStore store;
 
 	private final DeclarationReader reader;
@@ -101,7 +104,7 @@
 	}
 
 	private void readAll(String from, List<Row> found, long oldest) {
-		this.loop.then(this.store.read(this.reader.table(), from, PAGE), (read) -> {
+		this.loop.then(this.store.read(this.reader.table(), from, PAGE, PAGE_TIMEOUT), (read) -> {
 			if (!(read instanceof RowStore.Read.Found page)) {
 				unreachable(read.toString());
 				this.loop.after(RETRY_MILLIS, this::start);
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -13,6 +13,7 @@
 import org.almondmount.fleet.FleetSettings;
 import org.almondmount.fleet.JobAnswer;
 import org.almondmount.fleet.Loop;
+import org.almondmount.fleet.StorePatience;
 import org.almondmount.fleet.Submission;
 import org.almondmount.fleet.Tables;
 import org.almondmount.model.InvalidValueException;
@@ -29,6 +30,7 @@
 import org.almondmount.wire.PeerInfo;
 import org.almondmount.wire.PeerListener;
 import org.almondmount.wire.WireEndpoint;
+import org.almondmount.wire.WireException;
 import org.almondmount.workflow.FleetConfiguration;
 import org.almondmount.workflow.SchedulerPolicy;
 import org.almondmount.workflow.Workflow;
@@ -71,6 +73,8 @@
 
 	private final Loop loop;
 
+	private final StorePatience patience = new StorePatience();
+
 	private final PeerInfo self;
 
 	private final PeerLinks peers;
@@ -114,11 +118,11 @@
 		this.peers = new PeerLinks(settings.peerAddress(), this.loop, this::dial);
 		this.targets = new TargetLinks(this.peers::connectedAddresses);
 		this.term = new TermDriver(new TermSettings(run, settings.peerAddress(), settings.termLength().toMillis()),
-				store, this.loop, telemetry, this::writesOf, new TermListener());
+				store, this.loop, this.patience, telemetry, this::writesOf, new TermListener());
 		this.holder = new HolderDesk(
 				new DefaultWorkflowScheduler(SchedulerPolicy.DEFAULT.withLeaseMillis(settings.lease().toMillis())),
 				store, this.loop, telemetry, this.term, this.targets, settings.lease().toMillis());
-		this.desk = new FrontDesk(store, this.loop, telemetry, this.holder, this.term, this.peers);
+		this.desk = new FrontDesk(store, this.loop, this.patience, telemetry, this.holder, this.term, this.peers);
 		this.declared = new DeclaredState(store, reader, this.loop, this::inForce);
 		telemetry.gauge("term.epoch", this.term::epoch);
 	}
@@ -235,7 +239,7 @@
 	private void enrol() {
 		Write row = new Write(new RowStore.Place(Tables.ENTRIES, this.settings.name()),
 				Optional.of(this.settings.peerAddress()));
-		this.loop.then(this.store.commit(List.of(), List.of(row)), (ending) -> {
+		this.loop.then(this.store.commit(List.of(), List.of(row), this.patience.timeout()), (ending) -> {
 			if (ending instanceof RowStore.Commit.Committed) {
 				learnEntries();
 				return;
@@ -251,7 +255,7 @@
 	}
 
 	private void learnEntries() {
-		this.loop.then(this.store.read(Tables.ENTRIES, "", MOST_ENTRIES), (read) -> {
+		this.loop.then(this.store.read(Tables.ENTRIES, "", MOST_ENTRIES, this.patience.timeout()), (read) -> {
 			if (read instanceof RowStore.Read.Found found) {
 				found.rows().forEach((row) -> row.value().ifPresent(this.peers::known));
 			}
@@ -262,11 +266,18 @@
 		this.turn++;
 		boolean holds = this.term.mayDecide();
 		if (holds || this.turn % QUIET_TURNS == 0) {
-			this.peers
-				.broadcast(new Message.EntryHeartbeat(this.turn, this.declared.version(), this.term.epoch(), holds));
+			this.peers.broadcast(new Message.EntryHeartbeat(this.turn, this.declared.version(), heldEpoch(), holds));
 		}
 	}
 
+	private long heldEpoch() {
+		return this.term.mayDecide() ? this.term.epoch() : 0;
+	}
+
+	private void quit(long epoch) {
+		this.peers.broadcast(new Message.EntryHeartbeat(this.turn, this.declared.version(), epoch, false));
+	}
+
 	private void inForce(DeclaredState state) {
 		this.configuration = state.configuration();
 		this.holder.declared(state.configuration(), state.zonesOut());
@@ -277,7 +288,7 @@
 			this.wire.dial(Addresses.parse(address), this.self, this.settings.peer(), new Listener())
 				.whenComplete((connection, failure) -> {
 					if (failure != null) {
-						this.loop.run(() -> this.peers.dialFailed(address));
+						this.loop.run(() -> dialFailed(address, failure));
 					}
 				});
 		}
@@ -286,6 +297,18 @@
 		}
 	}
 
+	// Where nobody listens any more the process that listened there is gone, and with it
+	// the
+	// term that it held: nobody has to wait for its end.
+	private void dialFailed(String address, Throwable failure) {
+		this.peers.dialFailed(address);
+		Optional<TermRow> held = this.term.holder().filter((row) -> row.address().equals(address));
+		if (held.isPresent() && failure instanceof WireException fault && fault.reason() == CloseReason.REFUSED) {
+			LOG.info("holder-gone", "address", address, "epoch", held.get().epoch());
+			this.term.holderQuit(held.get().epoch());
+		}
+	}
+
 	private void opened(PeerConnection connection) {
 		LOG.info("peer-connected", "peer", connection.peer().name(), "role", connection.peer().role());
 		if (connection.peer().role() == PeerInfo.Role.TARGET) {
@@ -294,7 +317,7 @@
 		}
 		this.peers.opened(connection);
 		boolean holds = this.term.mayDecide();
-		connection.send(new Message.EntryHeartbeat(0, this.declared.version(), this.term.epoch(), holds));
+		connection.send(new Message.EntryHeartbeat(0, this.declared.version(), heldEpoch(), holds));
 	}
 
 	private void closed(PeerConnection connection, CloseReason reason) {
@@ -304,6 +327,10 @@
 			return;
 		}
 		this.peers.closed(connection);
+		if (this.term.holder().map(TermRow::address).filter(connection.peer().address()::equals).isPresent()) {
+			this.term.holderLost();
+			this.peers.known(connection.peer().address());
+		}
 	}
 
 	private void received(PeerConnection connection, Message message) {
@@ -314,9 +341,7 @@
 			return;
 		}
 		if (message instanceof Message.EntryHeartbeat word) {
-			if (word.holder()) {
-				this.term.holderHeard(word.epoch());
-			}
+			holderWord(connection.peer().address(), word);
 			tellDeclared(connection, word.revision());
 		}
 		else if (message instanceof Message.Forward call) {
@@ -327,6 +352,17 @@
 		}
 	}
 
+	// A word that names an epoch and does not hold it is that epoch's holder giving it
+	// up.
+	private void holderWord(String address, Message.EntryHeartbeat word) {
+		if (word.holder()) {
+			this.term.holderHeard(word.epoch(), address);
+		}
+		else if (word.epoch() > 0) {
+			this.term.holderQuit(word.epoch());
+		}
+	}
+
 	private void forwarded(PeerConnection connection, Message.Forward call) {
 		if (call.method().equals(DECLARED)) {
 			Optional<String> value = call.headers().containsKey(DELETED) ? Optional.empty()
@@ -373,8 +409,9 @@
 		}
 
 		@Override
-		public void ended() {
+		public void ended(long epoch) {
 			FleetEntry.this.holder.termEnded();
+			quit(epoch);
 		}
 
 		@Override
@@ -389,7 +426,8 @@
 		}
 
 		@Override
-		public void released() {
+		public void released(long epoch) {
+			quit(epoch);
 			FleetEntry.this.released.complete(null);
 		}
 
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
@@ -10,6 +10,7 @@
 
 import org.almondmount.fleet.JobAnswer;
 import org.almondmount.fleet.Loop;
+import org.almondmount.fleet.StorePatience;
 import org.almondmount.fleet.Submission;
 import org.almondmount.fleet.Tables;
 import org.almondmount.fleet.codec.RecordCodec;
@@ -66,6 +67,9 @@
 	/** A cancel waits for a commit of the holder. */
 	private static final long CANCEL_MILLIS = 1_500;
 
+	/** A store that did not answer is tried again after so long, in milliseconds. */
+	private static final long PROBE_MILLIS = 1_000;
+
 	/** A count may be this old. */
 	private static final long COUNT_MILLIS = 800;
 
@@ -73,6 +77,8 @@
 
 	private final Loop loop;
 
+	private final StorePatience patience;
+
 	private final Telemetry telemetry;
 
 	private final HolderDesk holder;
@@ -83,9 +89,11 @@
 
 	private final Map<String, Count> counts = new HashMap<>();
 
-	FrontDesk(RowStore store, Loop loop, Telemetry telemetry, HolderDesk holder, TermDriver term, PeerLinks peers) {
+	FrontDesk(RowStore store, Loop loop, StorePatience patience, Telemetry telemetry, HolderDesk holder,
+			TermDriver term, PeerLinks peers) {
 		this.store = store;
 		this.loop = loop;
+		this.patience = patience;
 		this.telemetry = telemetry;
 		this.holder = holder;
 		this.term = term;
@@ -197,10 +205,31 @@
 		return answer;
 	}
 
+	// A job that was sent to a store that does not answer can no longer be refused. So
+	// where no answer is to be expected it is not sent, and its caller hears at once that
+	// it
+	// has not run.
 	private void write(Attempt attempt) {
+		if (!attempt.unsettled && this.patience.expectsSilence(this.loop.steadyMillis(), PROBE_MILLIS)) {
+			written(attempt, new RowStore.Commit.Refused("the store did not answer the last call"));
+			return;
+		}
 		Place place = Tables.job(attempt.job.id());
+		long sentAt = this.loop.steadyMillis();
 		this.loop.then(this.store.commit(List.of(new Condition(place, 0)),
-				List.of(new Write(place, Optional.of(attempt.text)))), (ending) -> written(attempt, ending));
+				List.of(new Write(place, Optional.of(attempt.text))), this.patience.timeout()), (ending) -> {
+					learn(sentAt, ending);
+					written(attempt, ending);
+				});
+	}
+
+	private void learn(long sentAt, RowStore.Commit ending) {
+		if (ending instanceof RowStore.Commit.Unanswered) {
+			this.patience.silent(this.loop.steadyMillis());
+		}
+		else if (!(ending instanceof RowStore.Commit.Refused)) {
+			this.patience.answered(this.loop.steadyMillis() - sentAt);
+		}
 	}
 
 	private void written(Attempt attempt, RowStore.Commit ending) {
@@ -269,7 +298,7 @@
 
 	private void readPhase(String job, long until, CompletableFuture<JobAnswer> outcome) {
 		Place progress = Tables.progress(job);
-		this.loop.then(this.store.read(progress.table(), progress.key(), 1), (read) -> {
+		this.loop.then(this.store.read(progress.table(), progress.key(), 1, this.patience.timeout()), (read) -> {
 			if (!(read instanceof RowStore.Read.Found found)) {
 				againOrUnavailable(until, outcome, () -> readPhase(job, until, outcome));
 				return;
@@ -286,7 +315,7 @@
 
 	private void readIntake(String job, long until, CompletableFuture<JobAnswer> outcome) {
 		Place intake = Tables.job(job);
-		this.loop.then(this.store.read(intake.table(), intake.key(), 1), (read) -> {
+		this.loop.then(this.store.read(intake.table(), intake.key(), 1, this.patience.timeout()), (read) -> {
 			if (!(read instanceof RowStore.Read.Found found)) {
 				againOrUnavailable(until, outcome, () -> readIntake(job, until, outcome));
 				return;
@@ -305,7 +334,7 @@
 			return;
 		}
 		Place intake = Tables.job(job);
-		this.loop.then(this.store.read(intake.table(), intake.key(), 1), (read) -> {
+		this.loop.then(this.store.read(intake.table(), intake.key(), 1, this.patience.timeout()), (read) -> {
 			if (!(read instanceof RowStore.Read.Found found)) {
 				againOrUnavailable(until, outcome, () -> cancelEnded(job, false, until, outcome));
 				return;
@@ -320,8 +349,10 @@
 	}
 
 	private void writeCancel(String job, Row row, long until, CompletableFuture<JobAnswer> outcome) {
-		this.loop.then(this.store.commit(List.of(new Condition(row.place(), row.version())),
-				List.of(new Write(Tables.cancel(job), Optional.of("{}")))), (ending) -> {
+		this.loop.then(
+				this.store.commit(List.of(new Condition(row.place(), row.version())),
+						List.of(new Write(Tables.cancel(job), Optional.of("{}"))), this.patience.timeout()),
+				(ending) -> {
 					if (ending instanceof RowStore.Commit.Committed) {
 						LOG.info("cancel-kept", "job", job, "through", "store");
 						outcome.complete(new JobAnswer.Known(JobPhase.CANCELLED));
--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -41,6 +41,9 @@
 
 	private static final int PAGE = 500;
 
+	/** A page of rows is larger than other answers. */
+	private static final Duration PAGE_TIMEOUT = Duration.ofMillis(1_000);
+
 	private static final long TICK_MILLIS = 50;
 
 	private static final long RELOAD_MILLIS = 100;
@@ -262,7 +265,7 @@
 
 	private void readAll(String table, String from, List<Row> found, long oldest, long epoch,
 			Consumer<RowStore.Read.Found> taker) {
-		this.loop.then(this.store.read(table, from, PAGE), (read) -> {
+		this.loop.then(this.store.read(table, from, PAGE, PAGE_TIMEOUT), (read) -> {
 			if (this.loadingEpoch != epoch) {
 				return;
 			}
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
@@ -6,6 +6,7 @@
 import java.util.function.LongFunction;
 
 import org.almondmount.fleet.Loop;
+import org.almondmount.fleet.StorePatience;
 import org.almondmount.fleet.Tables;
 import org.almondmount.fleet.codec.RecordCodec;
 import org.almondmount.model.InvalidValueException;
@@ -38,6 +39,8 @@
 
 	private final Telemetry telemetry;
 
+	private final StorePatience patience;
+
 	private final Listener listener;
 
 	private final LongFunction<List<Write>> saves;
@@ -51,16 +54,18 @@
 	 * @param settings how this entry takes part
 	 * @param store where the row lies
 	 * @param loop the thread
+	 * @param patience how long the store is waited for
 	 * @param telemetry the process's metrics
 	 * @param saves the writes of a save, by its sequence
 	 * @param listener hears of the term
 	 */
-	TermDriver(TermSettings settings, RowStore store, Loop loop, Telemetry telemetry, LongFunction<List<Write>> saves,
-			Listener listener) {
+	TermDriver(TermSettings settings, RowStore store, Loop loop, StorePatience patience, Telemetry telemetry,
+			LongFunction<List<Write>> saves, Listener listener) {
 		this.keeper = new TermKeeper(settings);
 		this.store = store;
 		this.loop = loop;
 		this.telemetry = telemetry;
+		this.patience = patience;
 		this.saves = saves;
 		this.listener = listener;
 	}
@@ -94,10 +99,30 @@
 		feed(new TermEvent.Save(sequence));
 	}
 
-	void holderHeard(long epoch) {
+	/**
+	 * An entry says that it holds the term.
+	 * @param epoch the epoch
+	 * @param address where it accepts peers
+	 */
+	void holderHeard(long epoch, String address) {
+		if (epoch > this.holder.map(TermRow::epoch).orElse(0L)) {
+			this.holder = Optional.of(new TermRow("", address, epoch, 0, 0, false));
+		}
 		feed(new TermEvent.HolderHeard(epoch));
 	}
 
+	/**
+	 * The holder of an epoch surely decides nothing any more.
+	 * @param epoch the epoch
+	 */
+	void holderQuit(long epoch) {
+		feed(new TermEvent.HolderQuit(epoch));
+	}
+
+	void holderLost() {
+		feed(new TermEvent.HolderLost());
+	}
+
 	void release() {
 		feed(new TermEvent.Release());
 	}
@@ -109,7 +134,9 @@
 
 	private void carryOut(TermCommand command) {
 		if (command instanceof TermCommand.Look) {
-			this.loop.then(this.store.read(Tables.TERM.table(), Tables.TERM.key(), 1), this::looked);
+			long sentAt = this.loop.steadyMillis();
+			this.loop.then(this.store.read(Tables.TERM.table(), Tables.TERM.key(), 1, this.patience.timeout()),
+					(read) -> looked(sentAt, read));
 		}
 		else if (command instanceof TermCommand.Commit commit) {
 			commit(commit);
@@ -123,7 +150,7 @@
 		else if (command instanceof TermCommand.Ended ended) {
 			this.telemetry.count("term.ended");
 			LOG.warn("term-ended", "epoch", ended.epoch(), "why", ended.why());
-			this.listener.ended();
+			this.listener.ended(ended.epoch());
 		}
 		else if (command instanceof TermCommand.Saved saved) {
 			this.listener.saved(saved.sequence());
@@ -134,19 +161,20 @@
 					seen.row().address());
 			this.listener.holderSeen(seen.row());
 		}
-		else if (command instanceof TermCommand.Released) {
-			LOG.info("term-released", "epoch", this.keeper.epoch());
-			this.listener.released();
+		else if (command instanceof TermCommand.Released released) {
+			LOG.info("term-released", "epoch", released.epoch());
+			this.listener.released(released.epoch());
 		}
 	}
 
-	private void looked(RowStore.Read read) {
+	private void looked(long sentAt, RowStore.Read read) {
 		if (!(read instanceof RowStore.Read.Found found)) {
+			this.patience.silent(this.loop.steadyMillis());
 			storeSilent(read.toString());
 			feed(new TermEvent.ReadFailed());
 			return;
 		}
-		storeAnswered();
+		storeAnswered(sentAt);
 		Optional<Row> row = found.rows().stream().filter((one) -> one.place().equals(Tables.TERM)).findFirst();
 		feed(new TermEvent.RowRead(row.flatMap(TermDriver::parse), row.map(Row::version).orElse(0L)));
 	}
@@ -159,17 +187,17 @@
 		}
 		long number = commit.row().commit();
 		long sentAt = this.loop.steadyMillis();
-		this.loop.then(this.store.commit(List.of(new Condition(Tables.TERM, commit.expectedVersion())), writes),
-				(ending) -> ended(number, sentAt, ending));
+		this.loop.then(this.store.commit(List.of(new Condition(Tables.TERM, commit.expectedVersion())), writes,
+				this.patience.timeout()), (ending) -> ended(number, sentAt, ending));
 	}
 
 	private void ended(long number, long sentAt, RowStore.Commit ending) {
 		if (ending instanceof RowStore.Commit.Committed committed) {
-			storeAnswered();
+			storeAnswered(sentAt);
 			feed(new TermEvent.Committed(number, committed.version()));
 		}
 		else if (ending instanceof RowStore.Commit.Conflict conflict) {
-			storeAnswered();
+			storeAnswered(sentAt);
 			Optional<Row> row = conflict.current()
 				.stream()
 				.filter((one) -> one.place().equals(Tables.TERM))
@@ -181,6 +209,7 @@
 			feed(new TermEvent.Refused(number));
 		}
 		else if (ending instanceof RowStore.Commit.Unanswered unanswered) {
+			this.patience.silent(this.loop.steadyMillis());
 			storeSilent(unanswered.why() + " after " + (this.loop.steadyMillis() - sentAt) + " ms");
 			feed(new TermEvent.Unanswered(number));
 		}
@@ -194,7 +223,8 @@
 		}
 	}
 
-	private void storeAnswered() {
+	private void storeAnswered(long sentAt) {
+		this.patience.answered(this.loop.steadyMillis() - sentAt);
 		if (!this.storeAnswers) {
 			this.storeAnswers = true;
 			LOG.info("dependency-regained", "what", "store");
@@ -218,13 +248,13 @@
 
 		void began(long epoch);
 
-		void ended();
+		void ended(long epoch);
 
 		void saved(long sequence);
 
 		void holderSeen(TermRow row);
 
-		void released();
+		void released(long epoch);
 
 	}
 
--- a/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
+++ b/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
@@ -1,5 +1,6 @@
 package org.almondmount.fleet.target;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -43,6 +44,8 @@
 
 	private static final int MOST_ENTRIES = 500;
 
+	private static final Duration ENTRIES_TIMEOUT = Duration.ofMillis(1_000);
+
 	private final FleetSettings settings;
 
 	private final WorkerCalls worker;
@@ -156,7 +159,7 @@
 			return;
 		}
 		if (this.searches++ % SEARCHES_A_READ == 0) {
-			this.loop.then(this.store.read(Tables.ENTRIES, "", MOST_ENTRIES), this::read);
+			this.loop.then(this.store.read(Tables.ENTRIES, "", MOST_ENTRIES, ENTRIES_TIMEOUT), this::read);
 		}
 		this.search.search();
 	}
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SimStore.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimStore.java
@@ -96,10 +96,10 @@
 		}
 
 		@Override
-		public CompletableFuture<Commit> commit(List<Condition> conditions, List<Write> writes) {
+		public CompletableFuture<Commit> commit(List<Condition> conditions, List<Write> writes, Duration timeout) {
 			CompletableFuture<Commit> answer = new CompletableFuture<>();
 			if (this.cut) {
-				SimStore.this.time.after(TIMEOUT_MILLIS, () -> answer.complete(new Commit.Unanswered("cut")));
+				SimStore.this.time.after(timeout.toMillis(), () -> answer.complete(new Commit.Unanswered("cut")));
 				return answer;
 			}
 			if (SimStore.this.away) {
@@ -111,7 +111,7 @@
 				long late = SimStore.this.random.nextBoolean() ? ANSWER_MILLIS
 						: SimStore.this.random.nextLong(LATEST_MILLIS);
 				SimStore.this.time.after(late, () -> apply(conditions, writes));
-				SimStore.this.time.after(TIMEOUT_MILLIS, () -> answer.complete(new Commit.Unanswered("lost")));
+				SimStore.this.time.after(timeout.toMillis(), () -> answer.complete(new Commit.Unanswered("lost")));
 				return answer;
 			}
 			SimStore.this.time.after(ANSWER_MILLIS / 2, () -> {
@@ -122,10 +122,10 @@
 		}
 
 		@Override
-		public CompletableFuture<Read> read(String table, String from, int limit) {
+		public CompletableFuture<Read> read(String table, String from, int limit, Duration timeout) {
 			CompletableFuture<Read> answer = new CompletableFuture<>();
 			if (this.cut || SimStore.this.away) {
-				SimStore.this.time.after(TIMEOUT_MILLIS, () -> answer.complete(new Read.Unavailable("cut")));
+				SimStore.this.time.after(timeout.toMillis(), () -> answer.complete(new Read.Unavailable("cut")));
 				return answer;
 			}
 			SimStore.this.time.after(ANSWER_MILLIS, () -> {
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SimWire.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimWire.java
@@ -118,8 +118,11 @@
 			boolean reachable = there != null && !there.dead && !SimWire.this.cut.contains(this.vm)
 					&& !SimWire.this.cut.contains(there.vm);
 			if (!reachable) {
-				SimWire.this.time.after(50, () -> ready
-					.completeExceptionally(new WireException("sim", CloseReason.IO_ERROR, "unreachable")));
+				boolean refused = there != null && there.dead && !SimWire.this.cut.contains(this.vm)
+						&& !SimWire.this.cut.contains(there.vm);
+				CloseReason reason = refused ? CloseReason.REFUSED : CloseReason.IO_ERROR;
+				SimWire.this.time.after(50,
+						() -> ready.completeExceptionally(new WireException("sim", reason, "unreachable")));
 				return ready;
 			}
 			SimWire.this.time.after(2 * WAY_MILLIS, () -> {
--- a/runtime/src/main/java/org/almondmount/rows/RowStore.java
+++ b/runtime/src/main/java/org/almondmount/rows/RowStore.java
@@ -16,18 +16,20 @@
 	 * Commits writes whole or not at all.
 	 * @param conditions all have to hold
 	 * @param writes all are made
+	 * @param timeout after which it counts as unanswered
 	 * @return how it ended
 	 */
-	CompletableFuture<Commit> commit(List<Condition> conditions, List<Write> writes);
+	CompletableFuture<Commit> commit(List<Condition> conditions, List<Write> writes, Duration timeout);
 
 	/**
 	 * Reads rows in the order of their keys.
 	 * @param table the table
 	 * @param from the first key, or empty for the beginning
 	 * @param limit at most so many
+	 * @param timeout after which it counts as unanswered
 	 * @return the rows
 	 */
-	CompletableFuture<Read> read(String table, String from, int limit);
+	CompletableFuture<Read> read(String table, String from, int limit, Duration timeout);
 
 	/**
 	 * Waits for changes of a table.
--- a/runtime/src/main/java/org/almondmount/wire/CloseReason.java
+++ b/runtime/src/main/java/org/almondmount/wire/CloseReason.java
@@ -13,6 +13,8 @@
 	/** This side closed it on purpose. */
 	LOCAL,
 
+	/** Nobody listens at the address: the process that did is gone. */
+	REFUSED,
 	/** Nothing was heard for the heartbeat timeout. */
 	SILENT,
 
--- a/runtime/src/main/java/org/almondmount/wire/impl/NettyWire.java
+++ b/runtime/src/main/java/org/almondmount/wire/impl/NettyWire.java
@@ -1,5 +1,6 @@
 package org.almondmount.wire.impl;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -10,6 +11,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -94,13 +96,19 @@
 			.connect(address);
 		connecting.addListener((done) -> {
 			if (!done.isSuccess()) {
-				ready.completeExceptionally(new WireException(place, CloseReason.IO_ERROR,
+				ready.completeExceptionally(new WireException(place, reasonOf(done.cause()),
 						"no connection (" + done.cause().getMessage() + "); see that the peer is running"));
 			}
 		});
 		return ready;
 	}
 
+	private static CloseReason reasonOf(Throwable cause) {
+		boolean refused = cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException)
+				&& String.valueOf(cause.getMessage()).contains("refused");
+		return refused ? CloseReason.REFUSED : CloseReason.IO_ERROR;
+	}
+
 	// A stranger costs a little memory until its handshake ends or times out. Without a
 	// bound on their number many strangers could take all of it.
 	private void accept(SocketChannel channel, PeerInfo self, PeerSettings settings, PeerListener listener) {
