--- /dev/null
+++ b/core/src/test/java/org/almondmount/term/TermKeeperTests.java
@@ -0,0 +1,146 @@
+package org.almondmount.term;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TermKeeperTests {
+
+	private static final long LENGTH = 2_000;
+
+	private final TermKeeper keeper = new TermKeeper(new TermSettings("me", "10.0.0.1:1", LENGTH));
+
+	private long now = 50_000;
+
+	@Test
+	void theFirstEntryTakesTheTermAtOnce() {
+		assertThat(feed(new TermEvent.Tick())).containsExactly(new TermCommand.Look());
+		TermCommand.Commit commit = commitIn(feed(new TermEvent.RowRead(Optional.empty(), 0)));
+		assertThat(commit.expectedVersion()).isZero();
+		assertThat(feed(new TermEvent.Committed(commit.row().commit(), 7))).contains(new TermCommand.Began(1));
+	}
+
+	@Test
+	void aRowOfAnotherHolderIsWatchedForItsWholeLength() {
+		feed(new TermEvent.Tick());
+		assertThat(commits(feed(new TermEvent.RowRead(Optional.of(other(4)), 9)))).isEmpty();
+		watchUnchanged(LENGTH - 400);
+		assertThat(this.keeper.epoch()).isZero();
+		this.now += 500;
+		feed(new TermEvent.Tick());
+		assertThat(commitIn(feed(new TermEvent.RowRead(Optional.of(other(4)), 9))).row().epoch()).isEqualTo(5);
+	}
+
+	// The holder says that it gives the term up, because the store turns it away. Callers
+	// wait until somebody decides again, so nobody watches the row any longer.
+	@Test
+	void aTermThatItsHolderGaveUpIsTakenAtOnce() {
+		feed(new TermEvent.Tick());
+		feed(new TermEvent.RowRead(Optional.of(other(4)), 9));
+		List<TermCommand> commands = feed(new TermEvent.HolderQuit(4));
+		assertThat(commands).contains(new TermCommand.Look());
+		assertThat(commitIn(feed(new TermEvent.RowRead(Optional.of(other(4)), 9))).row().epoch()).isEqualTo(5);
+	}
+
+	@Test
+	void aWordOfAnEarlierEpochGivesNothingUp() {
+		feed(new TermEvent.Tick());
+		feed(new TermEvent.RowRead(Optional.of(other(4)), 9));
+		feed(new TermEvent.HolderQuit(3));
+		assertThat(commits(feed(new TermEvent.RowRead(Optional.of(other(4)), 9)))).isEmpty();
+	}
+
+	// A commit takes effect and its answer is lost. Sent again unchanged it meets its own
+	// number in the row, and what it kept counts as kept.
+	@Test
+	void aCommitWhoseAnswerWasLostIsFoundByItsNumber() {
+		hold();
+		TermCommand.Commit commit = commitIn(feed(new TermEvent.Save(11)));
+		TermCommand.Commit again = commitIn(feed(new TermEvent.Unanswered(commit.row().commit())));
+		assertThat(again).isEqualTo(commit);
+		assertThat(feed(new TermEvent.Conflict(commit.row().commit(), Optional.of(commit.row()), 30)))
+			.contains(new TermCommand.Saved(11));
+	}
+
+	@Test
+	void aHolderWhoseRowAnotherOneWroteDecidesNoMore() {
+		hold();
+		TermCommand.Commit commit = commitIn(feed(new TermEvent.Save(11)));
+		assertThat(feed(new TermEvent.Conflict(commit.row().commit(), Optional.of(other(9)), 30)))
+			.anyMatch(TermCommand.Ended.class::isInstance);
+		assertThat(this.keeper.validUntilMillis()).isEqualTo(TermKeeper.NEVER);
+	}
+
+	@Test
+	void aHolderWhomTheStoreTurnsAwayGivesTheTermUp() {
+		hold();
+		TermCommand.Commit commit = commitIn(feed(new TermEvent.Save(11)));
+		boolean ended = false;
+		for (int i = 0; i < 20 && !ended; i++) {
+			this.now += 50;
+			ended = ends(feed(new TermEvent.Refused(commit.row().commit()))) || ends(feed(new TermEvent.Tick()));
+		}
+		assertThat(ended).isTrue();
+	}
+
+	@Test
+	void aPausedHolderFindsOutByItsOwnClock() {
+		hold();
+		this.now += LENGTH;
+		assertThat(this.now).isGreaterThan(this.keeper.validUntilMillis());
+		assertThat(feed(new TermEvent.Tick())).anyMatch(TermCommand.Ended.class::isInstance);
+	}
+
+	@Test
+	void aRestartedProcessTakesTheTermOfItsFormerLifeAtOnce() {
+		feed(new TermEvent.Tick());
+		TermRow former = new TermRow("me-before", "10.0.0.1:1", 4, 8, LENGTH, false);
+		assertThat(commitIn(feed(new TermEvent.RowRead(Optional.of(former), 9))).row().epoch()).isEqualTo(5);
+	}
+
+	private void hold() {
+		feed(new TermEvent.Tick());
+		TermCommand.Commit commit = commitIn(feed(new TermEvent.RowRead(Optional.empty(), 0)));
+		feed(new TermEvent.Committed(commit.row().commit(), 7));
+	}
+
+	private void watchUnchanged(long millis) {
+		for (long until = this.now + millis; this.now < until; this.now += 100) {
+			if (feed(new TermEvent.Tick()).contains(new TermCommand.Look())) {
+				assertThat(commits(feed(new TermEvent.RowRead(Optional.of(other(4)), 9)))).isEmpty();
+			}
+		}
+	}
+
+	private static TermRow other(long epoch) {
+		return new TermRow("other", "10.0.0.2:1", epoch, 1, LENGTH, false);
+	}
+
+	private static boolean ends(List<TermCommand> commands) {
+		return commands.stream().anyMatch(TermCommand.Ended.class::isInstance);
+	}
+
+	private static List<TermCommand.Commit> commits(List<TermCommand> commands) {
+		List<TermCommand.Commit> commits = new ArrayList<>();
+		for (TermCommand command : commands) {
+			if (command instanceof TermCommand.Commit commit) {
+				commits.add(commit);
+			}
+		}
+		return commits;
+	}
+
+	private static TermCommand.Commit commitIn(List<TermCommand> commands) {
+		assertThat(commits(commands)).hasSize(1);
+		return commits(commands).get(0);
+	}
+
+	private List<TermCommand> feed(TermEvent event) {
+		return this.keeper.handle(this.now, event);
+	}
+
+}
--- /dev/null
+++ b/fleet/src/test/java/org/almondmount/fleet/codec/RecordCodecTests.java
@@ -0,0 +1,52 @@
+package org.almondmount.fleet.codec;
+
+import java.util.List;
+
+import org.almondmount.model.InvalidValueException;
+import org.almondmount.term.TermRow;
+import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.JobRecord;
+import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.Step;
+import org.almondmount.workflow.WorkerLife;
+import org.almondmount.workflow.Workflow;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class RecordCodecTests {
+
+	@Test
+	void aJobComesBackAsItWas() {
+		Step plain = new Step(2, new ResourceAmount(52_000, 270_000, 8), 900, List.of(), false, true,
+				new Step.Placement("a", "r1-3", true, 2), false, Step.ServiceTerms.NONE);
+		Step service = new Step(1, ResourceAmount.NONE, 0, List.of(0), true, false, Step.Placement.ANYWHERE, true,
+				new Step.ServiceTerms(true, "image", 40, true, 1));
+		Workflow job = new Workflow("5c0e7a21d94b36f8", "q", "c", "line\n\"quoted\"", List.of(plain, service),
+				new Workflow.Schedule(1_000, 500, 4), 77);
+		assertThat(RecordCodec.readWorkflow(RecordCodec.write(job))).isEqualTo(job);
+	}
+
+	@Test
+	void progressComesBackAsItWas() {
+		JobRecord.OpenRun run = new JobRecord.OpenRun(3, "target-1", new WorkerLife("w", 12), 9);
+		JobRecord record = new JobRecord("j", JobPhase.RUNNING, List.of(new JobRecord.StepKey(0, 1)),
+				List.of(new JobRecord.TaskRecord(new JobRecord.StepKey(0, 0), 4, 3, 1, false, "c1", List.of(run))));
+		assertThat(RecordCodec.readProgress(RecordCodec.write(record))).isEqualTo(record);
+	}
+
+	@Test
+	void aTermComesBackAsItWas() {
+		TermRow row = new TermRow("entry-1-x", "10.0.0.1:7000", 4, 17, 2_000, true);
+		assertThat(RecordCodec.readTerm(RecordCodec.write(row))).isEqualTo(row);
+	}
+
+	@Test
+	void whatAnotherWriterLeftIsRefusedByType() {
+		assertThatThrownBy(() -> RecordCodec.readWorkflow("no json")).isInstanceOf(InvalidValueException.class);
+		assertThatThrownBy(() -> RecordCodec.readWorkflow("{}")).isInstanceOf(InvalidValueException.class);
+		assertThatThrownBy(() -> RecordCodec.readProgress("{}")).isInstanceOf(IllegalArgumentException.class);
+	}
+
+}
--- a/runtime/src/test/java/org/almondmount/wire/impl/Samples.java
+++ b/runtime/src/test/java/org/almondmount/wire/impl/Samples.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.almondmount.gang.HeldMember;
 import org.almondmount.jobs.Attempt;
@@ -27,6 +28,12 @@
 import org.almondmount.model.ZoneState;
 import org.almondmount.wire.Message;
 import org.almondmount.wire.PeerInfo;
+import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.RunEnding;
+import org.almondmount.workflow.TaskId;
+import org.almondmount.workflow.WorkerDescription;
+import org.almondmount.workflow.WorkerLife;
+import org.almondmount.workflow.WorkerReport;
 
 /**
  * One message of each kind, for tests.
@@ -46,6 +53,16 @@
 		.withOption("backfill", "on")
 		.withRevision(7);
 
+	static final WorkerLife LIFE = new WorkerLife("worker-1", 1_700_000_000_000L);
+
+	static final TaskId TASK = new TaskId("5c0e7a21d94b36f8", 0, 1, 17);
+
+	static final WorkerReport REPORT = new WorkerReport("target-1",
+			new WorkerDescription(LIFE, "pool", "lulea-a", Set.of("a", "r1-3"), new ResourceAmount(128_000, 524_288, 8),
+					true, 4_500),
+			9, List.of(new WorkerReport.Running(TASK, 2, "c1", 41)),
+			List.of(new WorkerReport.Ended(58, TASK, 1, RunEnding.FAILED, "")));
+
 	static final List<Message> ALL = List.of(
 			new Message.Heartbeat(1, 2, 3, 4, List.of(new HeldMember(ATTEMPT, 0, 8, true))),
 			new Message.HeartbeatReply(1, 2, 3_000, List.of(ATTEMPT), List.of(ATTEMPT), List.of("127.0.0.1:1")),
@@ -63,7 +80,11 @@
 			new Message.MemberUsage(ATTEMPT, 2, new Resources(1, 2, 3)),
 			new Message.Forward(5, "parish", "POST", "/v1/jobs", new byte[] { 4 }, Map.of("idempotency-key", "k1")),
 			new Message.ForwardAnswer(5, 201, Map.of(), new byte[0]),
-			new Message.HolderIs(new EntryId("entry-1"), 9, "127.0.0.1:2"));
+			new Message.HolderIs(new EntryId("entry-1"), 9, "127.0.0.1:2"), new Message.TargetAlive(7),
+			new Message.LeaseGranted(9, 7, 6_000, List.of("127.0.0.1:1")), new Message.WorkerTold(REPORT),
+			new Message.RunNotBegun(TASK, 2, "draining"),
+			new Message.RunStart(9, 7, LIFE, TASK, 2, "program", "checkpoint"), new Message.RunStop(9, LIFE, TASK, 2),
+			new Message.EndsKept(9, LIFE, 57));
 
 	private Samples() {
 	}
