What runs on a leaving worker moves in time, what stands still is begun elsewhere

Change: checkpointing runs are stopped just before their worker goes, runs of a worker that deregistered and does not answer are given up at once, a run that was reported three times without a percent more is begun elsewhere. The virtual workers now report their progress.

--- a/core/src/main/java/org/almondmount/worker/WorkerEvent.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerEvent.java
@@ -16,6 +16,10 @@
 	record Described(WorkerDescription worker) implements WorkerEvent {
 	}
 
+	/** The worker said that it ends now. */
+	record Left(String worker) implements WorkerEvent {
+	}
+
 	/** A holder of the term was found, or found again after a lost connection. */
 	record HolderFound(long epoch) implements WorkerEvent {
 	}
--- a/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
@@ -28,6 +28,12 @@
 	/** Heartbeats whose sending time is remembered: more than a lease holds. */
 	private static final int REMEMBERED_HEARTBEATS = 64;
 
+	/** Looks in a row that fail after a worker said that it ends: then it is gone. */
+	private static final int FAILED_LOOKS_OF_ONE_GONE = 2;
+
+	/** One that still answers so long after has another life, or did not mean it. */
+	private static final long LEAVING_MILLIS = 5_000;
+
 	private final String target;
 
 	private final WorkerPolicy policy;
@@ -72,6 +78,10 @@
 
 	private Map<Long, Long> lookEpochs = new HashMap<>();
 
+	private long leftAt = Long.MIN_VALUE;
+
+	private int failedLooks;
+
 	private boolean lookSoon;
 
 	private boolean reportDue;
@@ -130,8 +140,15 @@
 		else if (event instanceof WorkerEvent.Looked looked) {
 			looked(now, looked);
 		}
+		else if (event instanceof WorkerEvent.Left left) {
+			if (left.worker().equals(this.life.worker())) {
+				this.leftAt = now;
+			}
+		}
 		else if (event instanceof WorkerEvent.LookFailed failed) {
 			lookEnded(failed.look());
+			this.failedLooks++;
+			gone();
 			this.nextLook = now + this.policy.lookPauseMillis();
 		}
 		else if (event instanceof WorkerEvent.StartEnded ended) {
@@ -257,6 +274,22 @@
 		this.reportDue |= !alike;
 	}
 
+	// A worker that said that it ends and does not answer any more runs nothing. Its runs
+	// need not wait for their lease to run out.
+	private void gone() {
+		if (this.leftAt == Long.MIN_VALUE || this.failedLooks < FAILED_LOOKS_OF_ONE_GONE) {
+			return;
+		}
+		for (WorkerReport.Running run : this.running) {
+			this.commands.add(new WorkerCommand.SendNotBegun(run.task(), run.run(), "the worker left"));
+		}
+		for (OrderedRun run : this.orders.values()) {
+			this.commands.add(new WorkerCommand.SendNotBegun(run.order().task(), run.order().run(), "the worker left"));
+		}
+		this.running = List.of();
+		this.orders.clear();
+	}
+
 	private boolean draining() {
 		return this.description.map(WorkerDescription::draining).orElse(false);
 	}
@@ -277,6 +310,8 @@
 		this.ends.clear();
 		this.orders.clear();
 		this.acknowledged = 0;
+		this.leftAt = Long.MIN_VALUE;
+		this.failedLooks = 0;
 		this.obeyedEpoch = 0;
 		this.lookSoon = true;
 	}
@@ -288,6 +323,10 @@
 			return;
 		}
 		begin(looked.life());
+		this.failedLooks = 0;
+		if (this.leftAt != Long.MIN_VALUE && now - this.leftAt > LEAVING_MILLIS) {
+			this.leftAt = Long.MIN_VALUE;
+		}
 		this.clockMillis = looked.clockMillis();
 		this.clockReadAt = now;
 		if (lookEpoch != null && lookEpoch > this.obeyedEpoch) {
--- a/core/src/main/java/org/almondmount/worker/WorkerPolicy.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerPolicy.java
@@ -11,9 +11,9 @@
 public record WorkerPolicy(long heartbeatMillis, long lookWaitMillis, long lookPauseMillis, long progressMillis) {
 
 	/**
-	 * A heartbeat a second is a sixth of the shortest lease; progress is only needed when
-	 * work has to be resumed elsewhere.
+	 * A heartbeat a second is a sixth of the shortest lease; progress is needed when work
+	 * has to be resumed elsewhere, and shows tasks that stand still.
 	 */
-	public static final WorkerPolicy DEFAULT = new WorkerPolicy(1_000, 1_000, 200, 2_000);
+	public static final WorkerPolicy DEFAULT = new WorkerPolicy(1_000, 1_000, 200, 1_000);
 
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -8,6 +8,8 @@
  */
 final class Run {
 
+	private static final int WHOLE = 100;
+
 	private final TaskState task;
 
 	private final int number;
@@ -24,6 +26,10 @@
 
 	private long startedMillis;
 
+	private long seenMillis;
+
+	private long progressedMillis;
+
 	private int percent;
 
 	Run(TaskState task, int number, Worker worker, long epoch, State state) {
@@ -97,8 +103,33 @@
 		if (this.state != State.RUNNING) {
 			this.state = State.RUNNING;
 			this.startedMillis = now;
+			this.progressedMillis = now;
+		}
+		if (progress != this.percent) {
+			this.progressedMillis = now;
 		}
 		this.percent = progress;
+		this.seenMillis = now;
+	}
+
+	/**
+	 * For how long it was seen without any progress.
+	 * @return milliseconds between the reports of the same percentage
+	 */
+	long stillMillis() {
+		return this.seenMillis - this.progressedMillis;
+	}
+
+	/**
+	 * The time that is left at the speed so far.
+	 * @param now the steady clock
+	 * @return milliseconds, or {@link Long#MAX_VALUE} where nothing is known yet
+	 */
+	long leftMillis(long now) {
+		if (this.percent <= 0) {
+			return Long.MAX_VALUE;
+		}
+		return (now - this.startedMillis) * (WHOLE - this.percent) / this.percent;
 	}
 
 	boolean running() {
--- a/core/src/main/java/org/almondmount/workflow/impl/Worker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Worker.java
@@ -28,6 +28,8 @@
 
 	private long lastHeardMillis;
 
+	private long leavesMillis;
+
 	private long seenEnd;
 
 	private long epoch;
@@ -52,8 +54,19 @@
 		return this.description;
 	}
 
-	void describe(WorkerDescription said) {
+	void describe(long now, WorkerDescription said) {
 		this.description = Optional.of(said);
+		if (said.draining()) {
+			this.leavesMillis = Math.max(this.leavesMillis, now + said.remainingMillis());
+		}
+	}
+
+	/**
+	 * Until when a worker that drains is surely there.
+	 * @return a time of the steady clock
+	 */
+	long leavesMillis() {
+		return this.leavesMillis;
 	}
 
 	String rack() {
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
@@ -17,6 +17,15 @@
  */
 final class WorkerReports {
 
+	/** A stop takes up to 900 ms, and the order its way. */
+	private static final long STOP_BEFORE_LEAVING_MILLIS = 1_300;
+
+	/** Three reports without a percent more. */
+	private static final long STANDSTILL_MILLIS = 3_000;
+
+	/** A worker whose tasks stood still gets nothing new for so long. */
+	private static final long STANDSTILL_REST_MILLIS = 5_000;
+
 	private final SchedulerState state;
 
 	private final RunLedger ledger;
@@ -36,7 +45,7 @@
 	void read(WorkerReport report) {
 		Worker worker = currentLife(report);
 		boolean wasDraining = worker.draining();
-		worker.describe(report.worker());
+		worker.describe(this.state.steadyMillis(), report.worker());
 		worker.obeys(report.epoch());
 		if (worker.draining() && !wasDraining) {
 			this.state.explain("worker-draining", "worker", worker.target(), "life", worker.life(), "remainingMillis",
@@ -74,6 +83,8 @@
 			}
 			for (Run run : List.copyOf(worker.runs())) {
 				repeatOrder(now, run);
+				leaveInTime(now, run);
+				leaveStandstill(now, run);
 			}
 		}
 	}
@@ -102,6 +113,41 @@
 		}
 	}
 
+	// What saves its progress is stopped just before its worker goes, so that all but the
+	// last moment is kept; what does not has nothing to gain by an earlier end.
+	private void leaveInTime(long now, Run run) {
+		Worker worker = run.worker();
+		boolean going = worker.draining() && now >= worker.leavesMillis() - STOP_BEFORE_LEAVING_MILLIS;
+		if (going && run.running() && !run.stopping() && run.task().step().spec().checkpoints()
+				&& run.leftMillis(now) > worker.leavesMillis() - now) {
+			this.state.explain("run-moves", "task", run.task().id(), "run", run.number(), "worker", worker.target(),
+					"why", "the worker leaves");
+			this.ledger.stop(run);
+		}
+	}
+
+	// A worker on which tasks stand still looks busy and healthy. A task that moves takes
+	// a
+	// tenth of a second for a percent; one that was seen at the same percentage for
+	// seconds
+	// is better begun elsewhere. A gang stands still as long as a member is missing.
+	private void leaveStandstill(long now, Run run) {
+		boolean still = run.running() && !run.stopping() && run.stillMillis() >= STANDSTILL_MILLIS;
+		if (!still || run.task().step().spec().lasting() || !wholeGangRuns(run)) {
+			return;
+		}
+		this.state.explain("run-stands-still", "task", run.task().id(), "run", run.number(), "worker",
+				run.worker().target(), "percent", run.percent(), "millis", run.stillMillis());
+		run.worker().health().restUntil(now + STANDSTILL_REST_MILLIS);
+		this.ledger.stop(run);
+	}
+
+	private static boolean wholeGangRuns(Run run) {
+		StepState step = run.task().step();
+		return !step.spec().gang()
+				|| step.tasks().stream().allMatch((task) -> task.openRun(run.number()).map(Run::running).orElse(false));
+	}
+
 	private Worker currentLife(WorkerReport report) {
 		WorkerLife life = report.worker().life();
 		Worker known = this.state.workers().get(report.target());
--- a/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
+++ b/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
@@ -105,6 +105,14 @@
 		this.loop.run(() -> feed(new WorkerEvent.Described(description)));
 	}
 
+	/**
+	 * The worker said that it ends now.
+	 * @param worker the worker
+	 */
+	public void left(String worker) {
+		this.loop.run(() -> feed(new WorkerEvent.Left(worker)));
+	}
+
 	@Override
 	public void close() {
 		this.loop.close();
--- a/fleet/src/test/java/org/almondmount/fleet/sim/Checker.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/Checker.java
@@ -152,6 +152,13 @@
 		return new Work(step.gang(), whole, this.brokenGangs.contains(gang), over && !bad, over && bad);
 	}
 
+	int percent(TaskId task, int run) {
+		Step step = step(task);
+		long since = step.gang() ? this.wholeSince.getOrDefault(gang(task, run), this.time.now())
+				: this.startedAt.getOrDefault(task + "/" + run, this.time.now());
+		return (int) Math.min(99, (this.time.now() - since) * 100 / this.runTimes.get(task.job()));
+	}
+
 	private void requireDone(Workflow job, TaskId task, int earlier) {
 		Step before = job.steps().get(earlier);
 		for (int index = 0; index < before.count(); index++) {
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SimWorker.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimWorker.java
@@ -210,7 +210,9 @@
 			return;
 		}
 		List<WorkerReport.Running> runs = new ArrayList<>();
-		this.running.values().forEach((run) -> runs.add(new WorkerReport.Running(run.task, run.run, "", 0)));
+		this.running.values()
+			.forEach((run) -> runs
+				.add(new WorkerReport.Running(run.task, run.run, "", this.checker.percent(run.task, run.run))));
 		answer.complete(
 				new WorkerEvent.Looked(look.look(), life(), this.time.now(), runs, List.copyOf(this.ended.values())));
 	}
