Work that can still be in time goes first; room is kept for the first units that do not fit

Cause: within one priority jobs went by arrival, also those that could no longer be in time, and single accelerators were given to small tasks as they became free, so that a gang which needs half a rack waited for all of them. Ruled out: an order across priorities (the users price work that is put behind less urgent work). Change: within a priority what can still be in time by its estimates, then the latest start; the first two units that do not fit have the place kept where they fit earliest, and only what ends before that may go there.

--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -28,6 +28,11 @@
 
 	private final Preemption preemption = new Preemption(this.placer);
 
+	/** The first units that do not fit; more would leave the fleet idle for guesses. */
+	private static final int MOST_RESERVATIONS = 2;
+
+	private final List<Reservation> reservations = new ArrayList<>();
+
 	/** Room that is being cleared, by the step that it is cleared for. */
 	private final Map<StepState, Map<TaskState, Worker>> cleared = new LinkedHashMap<>();
 
@@ -48,7 +53,9 @@
 		List<WorkUnit> units = waitingUnits();
 		units.sort(Comparator.comparing((WorkUnit unit) -> !unit.guaranteed())
 			.thenComparingInt((unit) -> unit.queue().priority())
-			.thenComparingLong(WorkUnit::dueMillis));
+			.thenComparing((unit) -> !unit.canBeInTime(this.state.wallMillis()))
+			.thenComparingLong(WorkUnit::latestStartMillis));
+		this.reservations.clear();
 		this.cleared.keySet().removeIf((step) -> units.stream().noneMatch((unit) -> unit.step() == step));
 		for (WorkUnit unit : units) {
 			place(unit);
@@ -70,6 +77,15 @@
 			this.preemption.plan(this.state.steadyMillis(), unit, workers, this::mayGiveWay)
 				.ifPresent((plan) -> giveWay(unit, plan));
 		}
+		if (!this.cleared.containsKey(unit.step()) && this.reservations.size() < MOST_RESERVATIONS) {
+			reserve(unit, workers);
+		}
+	}
+
+	private void reserve(WorkUnit unit, List<Worker> workers) {
+		boolean oneRack = unit.wantsOneRack() && this.placer.anyRackCouldHold(unit, workers);
+		List<List<Worker>> choices = oneRack ? this.placer.racks(unit, workers) : List.of(workers);
+		Reservation.earliest(this.state.steadyMillis(), unit, choices).ifPresent(this.reservations::add);
 	}
 
 	private void giveWay(WorkUnit unit, Preemption.Plan plan) {
@@ -93,6 +109,11 @@
 				placement.forEach((task, worker) -> rooms.take(worker, step.spec().demand()));
 			}
 		});
+		for (Reservation reservation : this.reservations) {
+			if (unit.step().spec().estimateMillis() > reservation.inMillis()) {
+				reservation.placement().values().forEach((worker) -> rooms.take(worker, reservation.unit().demand()));
+			}
+		}
 		return rooms;
 	}
 
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkUnit.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkUnit.java
@@ -17,6 +17,33 @@
  */
 record WorkUnit(JobQueue queue, StepState step, List<TaskState> tasks, long dueMillis, boolean guaranteed) {
 
+	/**
+	 * By when it has to start to be in time.
+	 * @return milliseconds since 1970, as far as its estimates go
+	 */
+	long latestStartMillis() {
+		double chain = chainMillis(this.step);
+		double objective = this.queue.stretch() * chain + this.queue.latencyObjectiveMillis();
+		return this.dueMillis + (long) (objective - chain);
+	}
+
+	/**
+	 * Whether it can still be in time.
+	 * @param wallMillis milliseconds since 1970
+	 * @return whether it can, as far as its estimates go
+	 */
+	boolean canBeInTime(long wallMillis) {
+		return wallMillis <= latestStartMillis();
+	}
+
+	private static double chainMillis(StepState step) {
+		double longest = 0;
+		for (int earlier : step.spec().after()) {
+			longest = Math.max(longest, chainMillis(step.job().step(step.occurrence(), earlier)));
+		}
+		return longest + step.spec().estimateMillis();
+	}
+
 	boolean gang() {
 		return this.step.spec().gang();
 	}
