A holder that is left waiting hands over in time; what can't be kept is refused at once, what is unsettled stays so

Change: the limit holds while an answer is out; a job that can't be kept is refused without further tries; unsettled jobs are remembered. Test first: a commit that is never answered is given up within half a term.

--- a/core/src/main/java/org/almondmount/term/TermKeeper.java
+++ b/core/src/main/java/org/almondmount/term/TermKeeper.java
@@ -280,14 +280,15 @@
 	}
 
 	private void hold(long now) {
+		if (this.pending.isPresent() && now - this.sentAt >= HAND_OVER_MILLIS) {
+			handOver(now);
+			return;
+		}
 		if (this.inFlight) {
 			return;
 		}
 		if (this.pending.isPresent()) {
-			if (now - this.sentAt >= HAND_OVER_MILLIS) {
-				handOver(now);
-			}
-			else if (now >= this.resendAt) {
+			if (now >= this.resendAt) {
 				send(now, this.pending.get(), false);
 			}
 			return;
--- a/core/src/test/java/org/almondmount/term/TermKeeperTests.java
+++ b/core/src/test/java/org/almondmount/term/TermKeeperTests.java
@@ -87,6 +87,21 @@
 		assertThat(ended).isTrue();
 	}
 
+	// The store takes the commit and never answers. The answer is waited for longer each
+	// time; the holder does not wait for the end of such a wait to give the term up.
+	@Test
+	void aHolderWhomTheStoreLeavesWaitingGivesTheTermUp() {
+		hold();
+		feed(new TermEvent.Save(11));
+		long sent = this.now;
+		boolean ended = false;
+		while (!ended && this.now < sent + LENGTH) {
+			this.now += 50;
+			ended = ends(feed(new TermEvent.Tick()));
+		}
+		assertThat(this.now - sent).isLessThan(LENGTH / 2);
+	}
+
 	@Test
 	void aPausedHolderFindsOutByItsOwnClock() {
 		hold();
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
@@ -2,10 +2,13 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import org.almondmount.fleet.JobAnswer;
@@ -74,6 +77,11 @@
 	 */
 	private static final long PROBE_MILLIS = 3_000;
 
+	/**
+	 * Unsettled jobs that are remembered: more than callers leave within a status's time.
+	 */
+	private static final int MOST_UNSETTLED = 4_096;
+
 	/** A count may be this old. */
 	private static final long COUNT_MILLIS = 800;
 
@@ -93,6 +101,9 @@
 
 	private final Map<String, Count> counts = new HashMap<>();
 
+	/** Jobs of which nobody can tell whether they were accepted, the oldest first. */
+	private final Set<String> unsettled = new LinkedHashSet<>();
+
 	FrontDesk(RowStore store, Loop loop, StorePatience patience, Telemetry telemetry, HolderDesk holder,
 			TermDriver term, PeerLinks peers) {
 		this.store = store;
@@ -215,6 +226,7 @@
 	// has not run.
 	private void write(Attempt attempt) {
 		if (!attempt.unsettled && this.patience.expectsSilence(this.loop.steadyMillis(), PROBE_MILLIS)) {
+			attempt.atOnce = true;
 			written(attempt, new RowStore.Commit.Refused("the store did not answer the last call"));
 			return;
 		}
@@ -248,7 +260,8 @@
 			askPeer(attempt);
 			return;
 		}
-		if (this.loop.steadyMillis() + REFUSED_PAUSE_MILLIS >= attempt.until || !attempt.mayTryAgain()) {
+		if (attempt.atOnce || this.loop.steadyMillis() + REFUSED_PAUSE_MILLIS >= attempt.until
+				|| !attempt.mayTryAgain()) {
 			giveUp(attempt);
 			return;
 		}
@@ -293,7 +306,15 @@
 		askHolder(ACCEPTED, attempt.job.id(), attempt.text.getBytes(StandardCharsets.UTF_8), HOLDER_MILLIS);
 	}
 
+	// What an earlier call left unsettled may still take effect, so a later call for the
+	// same
+	// job can't be told that it never runs.
 	private void giveUp(Attempt attempt) {
+		attempt.unsettled |= this.unsettled.contains(attempt.job.id());
+		if (attempt.unsettled) {
+			this.unsettled.add(attempt.job.id());
+			dropOldest(this.unsettled);
+		}
 		Submission outcome = attempt.unsettled ? Submission.UNKNOWN : Submission.REFUSED;
 		this.telemetry.count(attempt.unsettled ? "jobs.unsettled" : "jobs.refused");
 		LOG.warn("job-not-accepted", "job", attempt.job.id(), "outcome", outcome, "why", attempt.why);
@@ -381,6 +402,14 @@
 			.orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
 	}
 
+	private static void dropOldest(Set<String> remembered) {
+		if (remembered.size() > MOST_UNSETTLED) {
+			Iterator<String> oldest = remembered.iterator();
+			oldest.next();
+			oldest.remove();
+		}
+	}
+
 	private static Optional<Row> only(RowStore.Read.Found found, Place place) {
 		return found.rows().stream().filter((row) -> row.place().equals(place)).findFirst();
 	}
@@ -435,6 +464,9 @@
 
 		private boolean unsettled;
 
+		/** Whether nothing is to be expected of another try. */
+		private boolean atOnce;
+
 		private int writes;
 
 		private String why = "";
