--- a/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
@@ -296,16 +296,19 @@
 		return this.description.map(WorkerDescription::draining).orElse(false);
 	}
 
-	// A new life knows nothing of the former one's runs, ends and orders.
+	// A new life knows nothing of the former one's runs, ends and orders. A look that was
+	// sent before the worker had told its name brings the same life without it; taken as
+	// it
+	// is, the holder's orders for that life would not be known for what they are.
 	private void begin(WorkerLife next) {
 		if (next.equals(this.life)) {
 			return;
 		}
-		boolean sameBorn = next.bornMillis() == this.life.bornMillis();
-		this.life = next;
-		if (sameBorn) {
+		if (next.bornMillis() == this.life.bornMillis()) {
+			this.life = next.worker().isEmpty() ? this.life : next;
 			return;
 		}
+		this.life = next;
 		this.commands.add(WorkerCommand.Explain.of("worker-life", "life", next));
 		this.description = Optional.empty();
 		this.running = List.of();
--- a/core/src/test/java/org/almondmount/worker/WorkerKeeperTests.java
+++ b/core/src/test/java/org/almondmount/worker/WorkerKeeperTests.java
@@ -69,6 +69,20 @@
 		assertThat(this.commands).noneMatch(WorkerCommand.Start.class::isInstance);
 	}
 
+	// The process has just started. A look goes out before the worker has told its name
+	// and
+	// is answered after it has. The holder's orders name the worker and have to be
+	// obeyed.
+	@Test
+	void aLookThatDoesNotKnowTheWorkersNameTakesNothingAway() {
+		feed(new WorkerEvent.Tick());
+		feed(new WorkerEvent.Described(description(false)));
+		feed(new WorkerEvent.HolderFound(1));
+		feed(new WorkerEvent.Looked(1, new WorkerLife("", LIFE.bornMillis()), 900, List.of(), List.of()));
+		feed(new WorkerEvent.StopOrdered(1, LIFE, TASK, 1));
+		assertThat(this.commands).anyMatch(WorkerCommand.Stop.class::isInstance);
+	}
+
 	@Test
 	void anOrderOfAnEarlierEpochBeginsNothing() {
 		ready();
--- a/processes/src/test/java/org/almondmount/processes/ZoneOutTests.java
+++ b/processes/src/test/java/org/almondmount/processes/ZoneOutTests.java
@@ -64,10 +64,12 @@
 		this.site.await("the zone is out", () -> this.site.confirmed(other, OUT).ok());
 		int startsSoFar = startsIn(0);
 		old.process().resume();
+		List<String> answers = new ArrayList<>();
 		for (int i = 0; i < 10; i++) {
-			old.as(Site.NORRBOTTEN).post("/v1/jobs", Site.job(1, 1, "any", "sleep 200ms", Map.of()));
+			answers.add(String.valueOf(old.as(Site.NORRBOTTEN)
+				.post("/v1/jobs", Site.job(1, 1, "any", "sleep 200ms", Map.of()))));
 		}
-		this.site.await("jobs run in the other zone", () -> startsIn(1) >= 5);
+		this.site.await("jobs run in the other zone; the resumed entry answered " + answers, () -> startsIn(1) >= 5);
 		assertThat(startsIn(0)).isEqualTo(startsSoFar);
 	}
 
