--- a/processes/src/test/java/org/almondmount/processes/ZoneOutTests.java
+++ b/processes/src/test/java/org/almondmount/processes/ZoneOutTests.java
@@ -66,8 +66,8 @@
 		old.process().resume();
 		List<String> answers = new ArrayList<>();
 		for (int i = 0; i < 10; i++) {
-			answers.add(String.valueOf(old.as(Site.NORRBOTTEN)
-				.post("/v1/jobs", Site.job(1, 1, "any", "sleep 200ms", Map.of()))));
+			answers.add(String
+				.valueOf(old.as(Site.NORRBOTTEN).post("/v1/jobs", Site.job(1, 1, "any", "sleep 200ms", Map.of()))));
 		}
 		this.site.await("jobs run in the other zone; the resumed entry answered " + answers, () -> startsIn(1) >= 5);
 		assertThat(startsIn(0)).isEqualTo(startsSoFar);
