A process that has just started waits longer for the store

Change: 100 ms are expected before the first answers, so that 600 are waited for; the time follows the answers from then on. Tests of the patience; the first one fails without the change.

--- a/fleet/src/main/java/org/almondmount/fleet/StorePatience.java
+++ b/fleet/src/main/java/org/almondmount/fleet/StorePatience.java
@@ -26,7 +26,14 @@
 
 	private static final int MOST_DOUBLINGS = 3;
 
-	private double usualMillis = SHORTEST_MILLIS / TIMES_THE_USUAL;
+	/**
+	 * What is expected before the first answers, in milliseconds. A process that has just
+	 * started is slow itself: its first answers took up to 200 ms, and one given up too
+	 * early makes it refuse callers.
+	 */
+	private static final double FIRST_MILLIS = 100;
+
+	private double usualMillis = FIRST_MILLIS;
 
 	private int silences;
 
--- /dev/null
+++ b/fleet/src/test/java/org/almondmount/fleet/StorePatienceTests.java
@@ -0,0 +1,58 @@
+package org.almondmount.fleet;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StorePatienceTests {
+
+	private final StorePatience patience = new StorePatience();
+
+	// All entries were started anew at the same time. The first answer takes 200 ms, most
+	// of
+	// it in the process itself; callers were refused because it had been given up.
+	@Test
+	void aProcessThatHasJustStartedWaitsLonger() {
+		assertThat(this.patience.timeout().toMillis()).isGreaterThanOrEqualTo(500);
+	}
+
+	@Test
+	void aQuickStoreIsGivenUpQuickly() {
+		answers(20, 4);
+		assertThat(this.patience.timeout().toMillis()).isEqualTo(150);
+	}
+
+	@Test
+	void aSlowStoreIsWaitedFor() {
+		answers(20, 4);
+		answers(20, 300);
+		assertThat(this.patience.timeout().toMillis()).isEqualTo(1_200);
+	}
+
+	@Test
+	void eachSilenceDoublesTheTime() {
+		answers(20, 4);
+		this.patience.silent(1_000);
+		assertThat(this.patience.timeout().toMillis()).isEqualTo(300);
+		this.patience.silent(2_000);
+		assertThat(this.patience.timeout().toMillis()).isEqualTo(600);
+	}
+
+	@Test
+	void silenceIsExpectedUntilAnAnswerOrTheNextProbe() {
+		assertThat(this.patience.expectsSilence(1_000, 3_000)).isFalse();
+		this.patience.silent(1_000);
+		assertThat(this.patience.expectsSilence(3_900, 3_000)).isTrue();
+		assertThat(this.patience.expectsSilence(4_000, 3_000)).isFalse();
+		this.patience.silent(5_000);
+		this.patience.answered(4);
+		assertThat(this.patience.expectsSilence(5_001, 3_000)).isFalse();
+	}
+
+	private void answers(int count, long millis) {
+		for (int i = 0; i < count; i++) {
+			this.patience.answered(millis);
+		}
+	}
+
+}
