--- a/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
+++ b/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
@@ -128,18 +128,18 @@
 			this.loop.then(this.worker.look(look), this::feed);
 		}
 		else if (command instanceof WorkerCommand.Start start) {
-			LOG.info("run-start", "task", start.task(), "run", start.run(), "life", start.life(), "epoch",
+			LOG.info("start-sent", "task", start.task(), "run", start.run(), "life", start.life(), "epoch",
 					start.epoch(), "leaseUntil", start.leaseUntilMillis());
 			this.telemetry.count("runs.start");
 			this.loop.then(this.worker.start(start), (ended) -> {
-				LOG.info("run-start-ended", "task", ended.task(), "run", ended.run(), "ending", ended.ending(), "why",
+				LOG.info("start-answered", "task", ended.task(), "run", ended.run(), "ending", ended.ending(), "why",
 						ended.why());
 				feed(ended);
 			});
 		}
 		else if (command instanceof WorkerCommand.Stop stop) {
 			this.telemetry.count("runs.stop");
-			LOG.info("run-stop", "task", stop.task(), "run", stop.run(), "epoch", stop.epoch());
+			LOG.info("stop-sent", "task", stop.task(), "run", stop.run(), "epoch", stop.epoch());
 			this.loop.then(this.worker.stop(stop), this::feed);
 		}
 		else if (command instanceof WorkerCommand.SendHeartbeat heartbeat) {
--- a/fleet/src/main/java/org/almondmount/fleet/target/HolderSearch.java
+++ b/fleet/src/main/java/org/almondmount/fleet/target/HolderSearch.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-import org.almondmount.fleet.Tables;
 import org.almondmount.wire.CloseReason;
 import org.almondmount.wire.PeerConnection;
 
@@ -130,8 +129,4 @@
 		return false;
 	}
 
-	static String table() {
-		return Tables.ENTRIES;
-	}
-
 }
--- a/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
@@ -123,7 +123,7 @@
 
 	void ask(String job) {
 		EntryProcess entry = anyEntry();
-		if (entry.loop.dead()) {
+		if (entry.dead()) {
 			return;
 		}
 		entry.entry.phase(job, 2_000).thenAccept((answer) -> {
@@ -138,14 +138,14 @@
 
 	void cancel(String job) {
 		EntryProcess entry = anyEntry();
-		if (!entry.loop.dead()) {
+		if (!entry.dead()) {
 			entry.entry.cancel(job, 2_000);
 		}
 	}
 
 	private void hand(Workflow job, int tries) {
 		EntryProcess entry = anyEntry();
-		if (entry.loop.dead()) {
+		if (entry.dead()) {
 			this.time.after(500, () -> hand(job, tries + 1));
 			return;
 		}
@@ -168,43 +168,36 @@
 	}
 
 	/**
-	 * One entry with its restarts.
+	 * A process with its restarts.
 	 */
-	final class EntryProcess {
+	abstract class Process {
 
 		private final String name;
 
-		private final int port;
-
-		private VirtualLoop loop;
+		private VirtualLoop loop = new VirtualLoop(FleetWorld.this.time);
 
 		private SimWire.Endpoint endpoint;
 
-		private SimStore.Client client;
-
-		private FleetEntry entry;
-
-		EntryProcess(String name, int port) {
+		Process(String name) {
 			this.name = name;
-			this.port = port;
-			this.loop = new VirtualLoop(FleetWorld.this.time);
 			this.loop.kill();
 		}
 
-		String name() {
-			return this.name;
-		}
-
 		void start() {
 			this.loop = new VirtualLoop(FleetWorld.this.time);
 			this.endpoint = FleetWorld.this.wire.endpoint(this.name);
-			this.client = FleetWorld.this.store.client();
-			FleetSettings settings = new FleetSettings(this.name, "zone-0",
-					new InetSocketAddress("127.0.0.1", this.port), "key", LEASE, Duration.ofMillis(2_400),
-					Duration.ofSeconds(5));
-			this.entry = new FleetEntry(settings, this.client, new Declared(), this.endpoint, this.loop,
-					new Telemetry());
-			this.entry.start();
+			begin(this.loop, this.endpoint);
+		}
+
+		abstract void begin(VirtualLoop fresh, SimWire.Endpoint network);
+
+		FleetSettings settings(int port) {
+			return new FleetSettings(this.name, "zone-0", new InetSocketAddress("127.0.0.1", port), "key", LEASE,
+					Duration.ofMillis(2_400), Duration.ofSeconds(5));
+		}
+
+		boolean dead() {
+			return this.loop.dead();
 		}
 
 		void kill() {
@@ -220,6 +213,36 @@
 			this.loop.pause(millis);
 		}
 
+		void cut(long millis) {
+			FleetWorld.this.wire.cut(this.name, millis);
+		}
+
+	}
+
+	/**
+	 * One entry.
+	 */
+	final class EntryProcess extends Process {
+
+		private final int port;
+
+		private SimStore.Client client;
+
+		private FleetEntry entry;
+
+		EntryProcess(String name, int port) {
+			super(name);
+			this.port = port;
+		}
+
+		@Override
+		void begin(VirtualLoop fresh, SimWire.Endpoint network) {
+			this.client = FleetWorld.this.store.client();
+			this.entry = new FleetEntry(settings(this.port), this.client, new Declared(), network, fresh,
+					new Telemetry());
+			this.entry.start();
+		}
+
 		void cutFromStore(long millis) {
 			SimStore.Client cut = this.client;
 			if (cut != null) {
@@ -228,68 +251,36 @@
 			}
 		}
 
-		void cut(long millis) {
-			FleetWorld.this.wire.cut(this.name, millis);
-		}
-
 	}
 
 	/**
-	 * One target with its restarts, and the worker beside it.
+	 * One target and the worker beside it.
 	 */
-	final class TargetProcess {
-
-		private final String name;
+	final class TargetProcess extends Process {
 
 		private final SimWorker worker;
 
-		private VirtualLoop loop;
-
-		private SimWire.Endpoint endpoint;
-
 		private FleetTarget target;
 
 		TargetProcess(String name, SimWorker worker) {
-			this.name = name;
+			super(name);
 			this.worker = worker;
-			this.loop = new VirtualLoop(FleetWorld.this.time);
-			this.loop.kill();
 			announce();
 		}
 
-		SimWorker worker() {
-			return this.worker;
-		}
-
-		void start() {
-			this.loop = new VirtualLoop(FleetWorld.this.time);
-			this.endpoint = FleetWorld.this.wire.endpoint(this.name);
-			FleetSettings settings = new FleetSettings(this.name, "zone-0", new InetSocketAddress("127.0.0.1", 1),
-					"key", LEASE, Duration.ofMillis(2_400), Duration.ofSeconds(5));
-			this.target = new FleetTarget(settings, this.worker, FleetWorld.this.store.client(), this.endpoint,
-					this.loop, new Telemetry());
+		@Override
+		void begin(VirtualLoop fresh, SimWire.Endpoint network) {
+			this.target = new FleetTarget(settings(1), this.worker, FleetWorld.this.store.client(), network, fresh,
+					new Telemetry());
 			this.target.start();
 		}
 
-		void kill() {
-			if (this.loop.dead()) {
-				return;
-			}
-			this.loop.kill();
-			this.endpoint.kill();
-			FleetWorld.this.time.after(RESTART_MILLIS, this::start);
-		}
-
-		void pause(long millis) {
-			this.loop.pause(millis);
-		}
-
-		void cut(long millis) {
-			FleetWorld.this.wire.cut(this.name, millis);
+		SimWorker worker() {
+			return this.worker;
 		}
 
 		private void announce() {
-			if (!this.loop.dead()) {
+			if (!dead()) {
 				this.target.described(this.worker.describe());
 			}
 			FleetWorld.this.time.after(ANNOUNCE_MILLIS, this::announce);
