A target no longer vouches for a worker that does not answer

Ruled out: placement (most of the room was free), the crash itself (a worker that comes back is told apart by its life). Change: a heartbeat counts for the worker only if the worker answered a look within two seconds; otherwise it only keeps the connection, and the lease runs out as for a silent target. Test first: two of six virtual workers vanish; the jobs there never ended before, and end elsewhere now.

--- a/core/src/main/java/org/almondmount/worker/WorkerCommand.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerCommand.java
@@ -33,8 +33,17 @@
 	record Stop(WorkerLife life, long epoch, TaskId task, int run) implements WorkerCommand {
 	}
 
-	/** Tell the holder that this process lives. */
+	/**
+	 * Tell the holder that this process lives.
+	 *
+	 * @param heartbeat its number, or {@link #WORKER_SILENT} where the worker does not
+	 * answer
+	 */
 	record SendHeartbeat(long heartbeat) implements WorkerCommand {
+
+		/** This process lives, and nothing is known of the worker. */
+		public static final long WORKER_SILENT = 0;
+
 	}
 
 	/** Tell the holder of the worker. */
--- a/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
@@ -25,6 +25,12 @@
 	/** A worker's clock may be 2 % slow. */
 	private static final double SLOWEST_CLOCK = 0.98;
 
+	/**
+	 * Silence of the worker after which it is no longer vouched for, in milliseconds: a
+	 * look waits a second for an end and a third of one for its answer.
+	 */
+	private static final long WORKER_SILENCE_MILLIS = 2_000;
+
 	/** Heartbeats whose sending time is remembered: more than a lease holds. */
 	private static final int REMEMBERED_HEARTBEATS = 64;
 
@@ -82,6 +88,8 @@
 
 	private int failedLooks;
 
+	private long workerAnsweredAt = Long.MIN_VALUE;
+
 	private boolean lookSoon;
 
 	private boolean reportDue;
@@ -328,6 +336,7 @@
 			return;
 		}
 		begin(looked.life());
+		this.workerAnsweredAt = now;
 		this.failedLooks = 0;
 		if (this.leftAt != Long.MIN_VALUE && now - this.leftAt > LEAVING_MILLIS) {
 			this.leftAt = Long.MIN_VALUE;
@@ -421,12 +430,10 @@
 		}
 		if (now >= this.nextHeartbeat) {
 			this.nextHeartbeat = now + this.policy.heartbeatMillis();
-			this.heartbeats.put(++this.lastHeartbeat, now);
-			this.heartbeats.keySet().removeIf((number) -> number <= this.lastHeartbeat - REMEMBERED_HEARTBEATS);
-			this.commands.add(new WorkerCommand.SendHeartbeat(this.lastHeartbeat));
+			this.commands.add(new WorkerCommand.SendHeartbeat(nextHeartbeat(now)));
 		}
 		boolean progress = !this.running.isEmpty() && this.lookedSinceReport && now >= this.nextProgress;
-		if ((this.reportDue || progress) && this.description.isPresent()) {
+		if ((this.reportDue || progress) && this.description.isPresent() && workerAnswers(now)) {
 			this.reportDue = false;
 			this.lookedSinceReport = false;
 			this.nextProgress = now + this.policy.progressMillis();
@@ -435,6 +442,23 @@
 		}
 	}
 
+	// This process may live on beside a worker that is gone for good. A heartbeat that
+	// vouched
+	// for the worker would keep its runs alive in the holder's eyes for ever; without a
+	// number it only keeps the connection.
+	private long nextHeartbeat(long now) {
+		if (!workerAnswers(now)) {
+			return WorkerCommand.SendHeartbeat.WORKER_SILENT;
+		}
+		this.heartbeats.put(++this.lastHeartbeat, now);
+		this.heartbeats.keySet().removeIf((number) -> number <= this.lastHeartbeat - REMEMBERED_HEARTBEATS);
+		return this.lastHeartbeat;
+	}
+
+	private boolean workerAnswers(long now) {
+		return this.workerAnsweredAt != Long.MIN_VALUE && now - this.workerAnsweredAt <= WORKER_SILENCE_MILLIS;
+	}
+
 	private void retryStops(long now) {
 		for (OrderedRun run : this.orders.values()) {
 			if (run.stopWanted() && !run.stopOutstanding() && run.stopAnsweredBefore() == 0
--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -22,6 +22,7 @@
 import org.almondmount.telemetry.EventLog;
 import org.almondmount.telemetry.Telemetry;
 import org.almondmount.wire.Message;
+import org.almondmount.worker.WorkerCommand;
 import org.almondmount.workflow.FleetConfiguration;
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.JobRecord;
@@ -176,8 +177,11 @@
 			return;
 		}
 		if (message instanceof Message.TargetAlive alive) {
-			feed(new WorkflowEvent.WorkerHeard(target));
-			this.targets.granted(target, alive.heartbeat(), this.term.epoch(), this.leaseMillis);
+			boolean workerAnswers = alive.heartbeat() != WorkerCommand.SendHeartbeat.WORKER_SILENT;
+			if (workerAnswers) {
+				feed(new WorkflowEvent.WorkerHeard(target));
+			}
+			this.targets.granted(target, alive.heartbeat(), this.term.epoch(), workerAnswers ? this.leaseMillis : 0);
 		}
 		else if (message instanceof Message.WorkerTold told && this.loaded) {
 			feed(new WorkflowEvent.WorkerReported(told.report()));
--- a/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
@@ -280,7 +280,7 @@
 		}
 
 		private void announce() {
-			if (!dead()) {
+			if (!dead() && !this.worker.gone()) {
 				this.target.described(this.worker.describe());
 			}
 			FleetWorld.this.time.after(ANNOUNCE_MILLIS, this::announce);
--- a/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
@@ -49,6 +49,25 @@
 		}
 	}
 
+	// Two workers of six vanish while jobs run there; the processes beside them live on
+	// and
+	// speak to the holder. What ran there has to be begun elsewhere.
+	@Test
+	void whatRanOnWorkersThatVanishedIsBegunElsewhere() {
+		FleetWorld world = new FleetWorld(11, 3, 6);
+		world.runFor(3_000);
+		List<Workflow> jobs = submitSome(world, 12);
+		world.runFor(1_000);
+		world.targets().get(0).worker().vanish();
+		world.targets().get(3).worker().vanish();
+		world.runFor(60_000);
+		askAll(world, jobs);
+		assertThat(world.checker().broken()).isEmpty();
+		for (Workflow job : jobs) {
+			assertThat(world.seen().get(job.id())).as(job.id()).isNotNull().matches(JobPhase::over);
+		}
+	}
+
 	@ParameterizedTest
 	@MethodSource("seeds")
 	void noPromiseIsBrokenThroughTroublesAndEveryJobEnds(long seed) {
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SimWorker.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimWorker.java
@@ -73,6 +73,8 @@
 
 	private double unanswered;
 
+	private boolean gone;
+
 	SimWorker(VirtualTime time, Random random, Checker checker, String name, String zone, String rack,
 			ResourceAmount capacity) {
 		this.time = time;
@@ -107,6 +109,16 @@
 		this.unanswered = share;
 	}
 
+	// Ends for good; its target lives on.
+	void vanish() {
+		crash();
+		this.gone = true;
+	}
+
+	boolean gone() {
+		return this.gone;
+	}
+
 	void crash() {
 		this.checker.crashed(this);
 		this.running.clear();
@@ -123,6 +135,10 @@
 	public CompletableFuture<WorkerEvent> look(WorkerCommand.Look look) {
 		CompletableFuture<WorkerEvent> answer = new CompletableFuture<>();
 		boolean other = !look.life().worker().isEmpty() && !look.life().worker().equals(this.name);
+		if (this.gone) {
+			this.time.after(1, () -> answer.complete(new WorkerEvent.LookFailed(look.look(), "refused")));
+			return answer;
+		}
 		if (other) {
 			answer.complete(new WorkerEvent.LookFailed(look.look(), "another life"));
 			return answer;
@@ -156,6 +172,10 @@
 	}
 
 	private void perform(Runnable call, Runnable lost) {
+		if (this.gone) {
+			this.time.after(1, lost);
+			return;
+		}
 		if (this.random.nextDouble() < this.unanswered) {
 			this.time.after(this.random.nextBoolean() ? 1 : this.random.nextLong(LATEST_MILLIS), call);
 			this.time.after(TIMEOUT_MILLIS, lost);
