--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -85,7 +85,7 @@
 	}
 
 	private void reserve(WorkUnit unit, List<Worker> workers) {
-		boolean oneRack = unit.wantsOneRack() && this.placer.anyRackCouldHold(unit, workers);
+		boolean oneRack = this.placer.goesInOneRack(unit, workers);
 		List<List<Worker>> choices = oneRack ? this.placer.racks(unit, workers) : List.of(workers);
 		Reservation.earliest(this.state.steadyMillis(), unit, choices).ifPresent(this.reservations::add);
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/Placer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -35,7 +35,7 @@
 		if (!unit.gang()) {
 			return single(unit, workers, rooms.get());
 		}
-		if (!unit.wantsOneRack() || !anyRackCouldHold(unit, workers)) {
+		if (!goesInOneRack(unit, workers)) {
 			return fill(unit, workers, rooms.get());
 		}
 		for (List<Worker> rack : racks(unit, workers)) {
@@ -67,12 +67,17 @@
 	}
 
 	/**
-	 * Whether some rack would hold the unit if nothing else ran there.
+	 * Whether a unit is placed in one rack or not at all.
 	 * @param unit the unit
 	 * @param workers those that may run it
-	 * @return whether one would
+	 * @return whether it runs fast only there, and some rack would hold it if nothing
+	 * else ran in it
 	 */
-	boolean anyRackCouldHold(WorkUnit unit, List<Worker> workers) {
+	boolean goesInOneRack(WorkUnit unit, List<Worker> workers) {
+		return unit.wantsOneRack() && anyRackCouldHold(unit, workers);
+	}
+
+	private boolean anyRackCouldHold(WorkUnit unit, List<Worker> workers) {
 		for (List<Worker> rack : racks(unit, workers)) {
 			Rooms empty = new Rooms();
 			for (Worker worker : rack) {
--- a/core/src/main/java/org/almondmount/workflow/impl/Preemption.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Preemption.java
@@ -43,7 +43,7 @@
 	 */
 	Optional<Plan> plan(long now, WorkUnit unit, List<Worker> workers, Supplier<Rooms> room,
 			Predicate<Run> mayGiveWay) {
-		if (unit.wantsOneRack() && this.placer.anyRackCouldHold(unit, workers)) {
+		if (this.placer.goesInOneRack(unit, workers)) {
 			Optional<Plan> inOneRack = cheapest(now, unit, this.placer.racks(unit, workers), room, mayGiveWay);
 			if (inOneRack.isPresent()) {
 				return inOneRack;
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -1,6 +1,5 @@
 package org.almondmount.fleet.entry;
 
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -389,14 +388,6 @@
 		}
 	}
 
-	/**
-	 * Where this entry accepts peers.
-	 * @return the bound address, after {@link #start()}
-	 */
-	public InetSocketAddress peersAddress() {
-		return this.listening.address();
-	}
-
 	/**
 	 * Hands what happens with the term to the parts that it concerns.
 	 */
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
@@ -37,7 +37,7 @@
  */
 final class FrontDesk {
 
-	/** Asks the holder to forget nothing: a job that another entry accepted. */
+	/** Tells the holder of a job that another entry accepted. */
 	static final String ACCEPTED = "accepted";
 
 	/** Asks another entry to accept a job. */
