A store that has become slow no longer takes the term from every holder in turn

Each commit was given up after 150, 300 and 600 ms and its answer dropped, so the time to wait never learnt how slow the store was; after 600 ms the holder handed over to one that fared no better. An urgent job that had ended at second 10 was shown as completed at 16.6, when the store was fast again. Ruled out: the worker (its end was listed at once), the peers (connected all the while). Change: a commit is still sent again after the learnt time, but the first answer to any copy counts, within 1.2 s. A holder that is refused hands over after 0.6 s as before; one that is left waiting after 0.95 s.

--- a/core/src/main/java/org/almondmount/term/TermKeeper.java
+++ b/core/src/main/java/org/almondmount/term/TermKeeper.java
@@ -29,11 +29,18 @@
 	private final TermSettings settings;
 
 	/**
-	 * A holder whose commits take no effect for so long gives the term up, in
-	 * milliseconds: the store may turn away this entry alone. An answer takes 4 ms, of a
-	 * slow store 300.
+	 * A holder whose commits are refused for so long gives the term up, in milliseconds:
+	 * the store may turn away this entry alone.
 	 */
-	private static final long HAND_OVER_MILLIS = 600;
+	private static final long REFUSED_HAND_OVER_MILLIS = 600;
+
+	/**
+	 * A holder whose commits are not answered for so long gives the term up, in
+	 * milliseconds. An answer takes 4 ms, of a store that is a hundred times slower about
+	 * 800: a holder that gave up earlier would leave the term to one that fares no
+	 * better.
+	 */
+	private static final long SILENT_HAND_OVER_MILLIS = 950;
 
 	private List<TermCommand> commands = new ArrayList<>();
 
@@ -61,6 +68,9 @@
 
 	private boolean inFlight;
 
+	/** Whether the store refused the pending commit at least once. */
+	private boolean refused;
+
 	private long sentAt;
 
 	private long resendAt;
@@ -125,6 +135,7 @@
 			conflict(now, conflict);
 		}
 		else if (event instanceof TermEvent.Refused refused) {
+			this.refused = true;
 			again(now, refused.commit(), REFUSED_PAUSE_MILLIS);
 		}
 		else if (event instanceof TermEvent.Unanswered unanswered) {
@@ -271,8 +282,7 @@
 	}
 
 	// Others who reach the store take the term at once when they are told; this entry
-	// looks
-	// at it a little later, in case that nobody reaches the store.
+	// looks at it a little later, in case that nobody reaches the store.
 	private void handOver(long now) {
 		this.quitEpoch = this.epoch;
 		end("the store does not take this entry's commits");
@@ -280,7 +290,8 @@
 	}
 
 	private void hold(long now) {
-		if (this.pending.isPresent() && now - this.sentAt >= HAND_OVER_MILLIS) {
+		long patience = this.refused ? REFUSED_HAND_OVER_MILLIS : SILENT_HAND_OVER_MILLIS;
+		if (this.pending.isPresent() && now - this.sentAt >= patience) {
 			handOver(now);
 			return;
 		}
@@ -325,8 +336,7 @@
 		}
 		TermRow current = this.row.get();
 		// The same address means the same VM: the process that wrote the row is gone,
-		// since
-		// this one listens there now.
+		// since this one listens there now.
 		return current.released() || isOwn(current) || current.epoch() <= this.quitEpoch
 				|| current.address().equals(this.settings.address())
 				|| now - this.unchangedSince >= current.lengthMillis();
@@ -337,6 +347,7 @@
 		this.pending = Optional.of(commit);
 		if (first) {
 			this.sentAt = now;
+			this.refused = false;
 		}
 		this.commands.add(commit);
 	}
--- a/fleet/src/main/java/org/almondmount/fleet/StorePatience.java
+++ b/fleet/src/main/java/org/almondmount/fleet/StorePatience.java
@@ -41,6 +41,14 @@
 
 	private long lastSilence;
 
+	/**
+	 * How long an answer is of any use.
+	 * @return the longest that {@link #timeout()} becomes
+	 */
+	public static Duration longest() {
+		return Duration.ofMillis((long) LONGEST_MILLIS);
+	}
+
 	/**
 	 * How long to wait for the next answer.
 	 * @return the time
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
@@ -185,33 +185,54 @@
 		if (commit.save() != 0) {
 			writes.addAll(this.saves.apply(commit.save()));
 		}
-		long number = commit.row().commit();
-		long sentAt = this.loop.steadyMillis();
+		CommitCall call = new CommitCall(commit.row().commit(), this.loop.steadyMillis());
 		this.loop.then(this.store.commit(List.of(new Condition(Tables.TERM, commit.expectedVersion())), writes,
-				this.patience.timeout()), (ending) -> ended(number, sentAt, ending));
+				StorePatience.longest()), (ending) -> ended(call, ending));
+		this.loop.after(this.patience.timeout().toMillis(), () -> overdue(call));
 	}
 
-	private void ended(long number, long sentAt, RowStore.Commit ending) {
+	// A lost answer is found out only by waiting, so the commit is sent again soon. But a
+	// store that has become slow answers the first call later than that: were the answer
+	// dropped, no commit would ever be known to have taken effect, and each holder in
+	// turn would give up its term. So the first answer to any copy of the commit counts.
+	private void overdue(CommitCall call) {
+		if (call.answered) {
+			return;
+		}
+		call.overdue = true;
+		unanswered(call, "no answer yet");
+	}
+
+	private void unanswered(CommitCall call, String why) {
+		this.patience.silent(this.loop.steadyMillis());
+		storeSilent(why + " after " + (this.loop.steadyMillis() - call.sentAt) + " ms");
+		feed(new TermEvent.Unanswered(call.number));
+	}
+
+	private void ended(CommitCall call, RowStore.Commit ending) {
+		call.answered = true;
+		long number = call.number;
 		if (ending instanceof RowStore.Commit.Committed committed) {
-			storeAnswered(sentAt);
+			storeAnswered(call.sentAt);
 			feed(new TermEvent.Committed(number, committed.version()));
 		}
 		else if (ending instanceof RowStore.Commit.Conflict conflict) {
-			storeAnswered(sentAt);
+			storeAnswered(call.sentAt);
 			Optional<Row> row = conflict.current()
 				.stream()
 				.filter((one) -> one.place().equals(Tables.TERM))
 				.findFirst();
 			feed(new TermEvent.Conflict(number, row.flatMap(TermDriver::parse), row.map(Row::version).orElse(0L)));
 		}
+		else if (call.overdue) {
+			return;
+		}
 		else if (ending instanceof RowStore.Commit.Refused refused) {
 			storeSilent(refused.why());
 			feed(new TermEvent.Refused(number));
 		}
 		else if (ending instanceof RowStore.Commit.Unanswered unanswered) {
-			this.patience.silent(this.loop.steadyMillis());
-			storeSilent(unanswered.why() + " after " + (this.loop.steadyMillis() - sentAt) + " ms");
-			feed(new TermEvent.Unanswered(number));
+			unanswered(call, unanswered.why());
 		}
 	}
 
@@ -241,6 +262,27 @@
 		}
 	}
 
+	/**
+	 * One copy of a commit on its way to the store.
+	 */
+	private static final class CommitCall {
+
+		private final long number;
+
+		private final long sentAt;
+
+		private boolean answered;
+
+		/** Whether it was sent again meanwhile. */
+		private boolean overdue;
+
+		CommitCall(long number, long sentAt) {
+			this.number = number;
+			this.sentAt = sentAt;
+		}
+
+	}
+
 	/**
 	 * Hears of the term, on the loop's thread.
 	 */
--- a/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
@@ -50,8 +50,7 @@
 	}
 
 	// Two workers of six vanish while jobs run there; the processes beside them live on
-	// and
-	// speak to the holder. What ran there has to be begun elsewhere.
+	// and speak to the holder. What ran there has to be begun elsewhere.
 	@Test
 	void whatRanOnWorkersThatVanishedIsBegunElsewhere() {
 		FleetWorld world = new FleetWorld(11, 3, 6);
@@ -95,7 +94,7 @@
 		FleetWorld.EntryProcess entry = world.entries().get(random.nextInt(world.entries().size()));
 		FleetWorld.TargetProcess target = world.targets().get(random.nextInt(world.targets().size()));
 		long millis = 200 + random.nextInt(9_000);
-		switch (random.nextInt(12)) {
+		switch (random.nextInt(13)) {
 			case 0 -> entry.kill();
 			case 1 -> entry.pause(millis);
 			case 2 -> entry.cutFromStore(millis);
@@ -106,6 +105,10 @@
 			case 7 -> target.worker().crash();
 			case 8 -> target.worker().lose(random.nextDouble() / 2);
 			case 9 -> world.store().lose(random.nextDouble() / 2);
+			case 11 -> {
+				world.store().slow(2 + random.nextInt(200));
+				world.time().after(millis, () -> world.store().slow(1));
+			}
 			case 10 -> {
 				world.store().away(true);
 				world.time().after(Math.min(millis, 4_000), () -> world.store().away(false));
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SimStore.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimStore.java
@@ -35,6 +35,8 @@
 
 	private boolean away;
 
+	private long answerMillis = ANSWER_MILLIS;
+
 	SimStore(VirtualTime time, Random random) {
 		this.time = time;
 		this.random = random;
@@ -44,6 +46,14 @@
 		this.lost = share;
 	}
 
+	/**
+	 * Makes answers slow.
+	 * @param times how many times as long as usual they take
+	 */
+	void slow(int times) {
+		this.answerMillis = ANSWER_MILLIS * times;
+	}
+
 	void away(boolean gone) {
 		this.away = gone;
 	}
@@ -53,6 +63,13 @@
 		write(new RowStore.Write(new RowStore.Place(table, key), Optional.ofNullable(value)));
 	}
 
+	long rowsOf(String table) {
+		return this.rows.values()
+			.stream()
+			.filter((row) -> row.place().table().equals(table) && row.value().isPresent())
+			.count();
+	}
+
 	Client client() {
 		return new Client();
 	}
@@ -114,9 +131,11 @@
 				SimStore.this.time.after(timeout.toMillis(), () -> answer.complete(new Commit.Unanswered("lost")));
 				return answer;
 			}
-			SimStore.this.time.after(ANSWER_MILLIS / 2, () -> {
+			long half = SimStore.this.answerMillis / 2;
+			SimStore.this.time.after(timeout.toMillis(), () -> answer.complete(new Commit.Unanswered("slow")));
+			SimStore.this.time.after(half, () -> {
 				Commit ending = apply(conditions, writes);
-				SimStore.this.time.after(ANSWER_MILLIS / 2, () -> answer.complete(ending));
+				SimStore.this.time.after(half, () -> answer.complete(ending));
 			});
 			return answer;
 		}
@@ -128,7 +147,8 @@
 				SimStore.this.time.after(timeout.toMillis(), () -> answer.complete(new Read.Unavailable("cut")));
 				return answer;
 			}
-			SimStore.this.time.after(ANSWER_MILLIS, () -> {
+			SimStore.this.time.after(timeout.toMillis(), () -> answer.complete(new Read.Unavailable("slow")));
+			SimStore.this.time.after(SimStore.this.answerMillis, () -> {
 				List<Row> found = new ArrayList<>();
 				for (Row row : SimStore.this.rows.tailMap(table + "\t" + from).values()) {
 					if (row.place().table().equals(table) && row.value().isPresent() && found.size() < limit) {
--- /dev/null
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SlowStoreTests.java
@@ -0,0 +1,43 @@
+package org.almondmount.fleet.sim;
+
+import java.util.List;
+
+import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.Step;
+import org.almondmount.workflow.Workflow;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SlowStoreTests {
+
+	private static final int TIMES = 200;
+
+	// The store takes 0.8 s for an answer from one moment to the next. Each call that is
+	// given up before its answer comes was in vain, and a holder that learns of none of
+	// its
+	// commits hands the term to the next one, who learns of none either. Callers see jobs
+	// that are accepted and do not begin until the store is fast again.
+	@Test
+	void aJobRunsToItsEndWhileTheStoreIsSlow() {
+		FleetWorld world = new FleetWorld(5, 3, 5);
+		world.runFor(3_000);
+		world.store().slow(TIMES);
+		world.runFor(1_000);
+		Workflow job = new Workflow("00000000000000aa", "q1", "one", "p", List.of(step()), Workflow.Schedule.ONCE,
+				world.time().now());
+		world.submit(job, 500, false);
+		world.runFor(6_500);
+		world.ask(job.id());
+		world.runFor(2_000);
+		assertThat(world.checker().broken()).isEmpty();
+		assertThat(world.seen()).containsEntry(job.id(), JobPhase.COMPLETED);
+	}
+
+	private static Step step() {
+		return new Step(1, new ResourceAmount(1_000, 1_000, 1), 1_000, List.of(), false, false, Step.Placement.ANYWHERE,
+				false, Step.ServiceTerms.NONE);
+	}
+
+}
