Urgent work that can be in time comes first, and may take the place of what has time; run times are learnt

Ruled out: room that stood idle (the fleet's rooms by second, from the logs), reservations. Change: (1) a step whose waves do not fit before its latest start is late and goes behind; what is late by three objectives goes behind all, and first again after nine; (2) urgent work beyond its guarantee has less urgent work stopped if all of its step fits then, the stop itself does not make it late, no more than twice its own work is thrown away and what is stopped stays in time; (3) a guarantee is also reclaimed from urgent work beyond another one; (4) run times are fitted to the guesses for each queue, and tasks of a step follow the one that has ended; (5) a step that waits for a later one is refused: two of them in a ring never ended.

--- a/core/src/main/java/org/almondmount/workflow/JobQueue.java
+++ b/core/src/main/java/org/almondmount/workflow/JobQueue.java
@@ -17,4 +17,14 @@
 public record JobQueue(String name, String host, String pathPrefix, String pool, int priority, int maxAttempts,
 		double stretch, long latencyObjectiveMillis, boolean anonymous, boolean advised) {
 
+	private static final int URGENT = 0;
+
+	/**
+	 * Whether its jobs come before those of other queues and may take their place.
+	 * @return whether they do
+	 */
+	public boolean urgent() {
+		return this.priority == URGENT;
+	}
+
 }
--- a/core/src/main/java/org/almondmount/workflow/ResourceAmount.java
+++ b/core/src/main/java/org/almondmount/workflow/ResourceAmount.java
@@ -42,6 +42,16 @@
 				this.accelerators - other.accelerators);
 	}
 
+	/**
+	 * How often another amount goes into this one.
+	 * @param one the other amount
+	 * @return how often; without bound where it asks for nothing
+	 */
+	public long holds(ResourceAmount one) {
+		long times = Math.min(holds(this.cpuMillis, one.cpuMillis), holds(this.memoryMb, one.memoryMb));
+		return Math.min(times, holds(this.accelerators, one.accelerators));
+	}
+
 	public ResourceAmount times(long count) {
 		return new ResourceAmount(this.cpuMillis * count, this.memoryMb * count, this.accelerators * count);
 	}
@@ -68,4 +78,8 @@
 		return (whole > 0) ? (double) part / whole : 0;
 	}
 
+	private static long holds(long whole, long part) {
+		return (part > 0) ? Math.max(0, whole) / part : Integer.MAX_VALUE;
+	}
+
 }
--- a/core/src/main/java/org/almondmount/workflow/SchedulerPolicy.java
+++ b/core/src/main/java/org/almondmount/workflow/SchedulerPolicy.java
@@ -8,16 +8,19 @@
  * @param usableSilenceMillis silence of a target after which its worker gets nothing new
  * @param orderRetryMillis after which an order of which nothing was heard is sent again
  * @param refusalPauseMillis how long a worker that refused a run gets nothing new
+ * @param stopMillis how long a worker takes at most to end a run
+ * @param statusMillis how long callers can ask for a job that has ended
  */
 public record SchedulerPolicy(long leaseMillis, long usableSilenceMillis, long orderRetryMillis,
-		long refusalPauseMillis) {
+		long refusalPauseMillis, long stopMillis, long statusMillis) {
 
 	/**
 	 * Two heartbeats of a target may be missing before it counts as silent, an order is
 	 * repeated after the time in which nearly all are answered, and a refusing worker is
-	 * looked at again in a third of a second.
+	 * looked at again in a third of a second. The slowest workers known take 0.9 s to end
+	 * a run.
 	 */
-	public static final SchedulerPolicy DEFAULT = new SchedulerPolicy(6_000, 2_500, 800, 300);
+	public static final SchedulerPolicy DEFAULT = new SchedulerPolicy(6_000, 2_500, 800, 300, 900, 600_000);
 
 	/** A worker's clock may be 2 % slow, and a lease is measured on it. */
 	private static final double SLOWEST_CLOCK = 1.02;
@@ -26,7 +29,18 @@
 	private static final long LAPSE_MARGIN_MILLIS = 300;
 
 	public SchedulerPolicy withLeaseMillis(long millis) {
-		return new SchedulerPolicy(millis, this.usableSilenceMillis, this.orderRetryMillis, this.refusalPauseMillis);
+		return new SchedulerPolicy(millis, this.usableSilenceMillis, this.orderRetryMillis, this.refusalPauseMillis,
+				this.stopMillis, this.statusMillis);
+	}
+
+	public SchedulerPolicy withStopMillis(long millis) {
+		return new SchedulerPolicy(this.leaseMillis, this.usableSilenceMillis, this.orderRetryMillis,
+				this.refusalPauseMillis, millis, this.statusMillis);
+	}
+
+	public SchedulerPolicy withStatusMillis(long millis) {
+		return new SchedulerPolicy(this.leaseMillis, this.usableSilenceMillis, this.orderRetryMillis,
+				this.refusalPauseMillis, this.stopMillis, millis);
 	}
 
 	/**
--- a/core/src/main/java/org/almondmount/workflow/Workflow.java
+++ b/core/src/main/java/org/almondmount/workflow/Workflow.java
@@ -11,7 +11,7 @@
  * @param queue the name of its queue
  * @param customer whose job it is, or empty where the queue takes anonymous ones
  * @param program what each task is told to run
- * @param steps its steps; {@code after} refers to their numbers
+ * @param steps its steps; {@code after} refers to the numbers of earlier ones
  * @param schedule when its occurrences are due
  * @param acceptedAtMillis when it was accepted, in milliseconds since 1970
  */
@@ -24,15 +24,15 @@
 			throw new InvalidValueException("steps", "is empty; give at least one step");
 		}
 		for (int number = 0; number < steps.size(); number++) {
-			requireEarlier(number, steps.get(number).after(), steps.size());
+			requireEarlier(number, steps.get(number).after());
 		}
 	}
 
-	private static void requireEarlier(int number, List<Integer> after, int steps) {
+	private static void requireEarlier(int number, List<Integer> after) {
 		for (int earlier : after) {
-			if (earlier < 0 || earlier >= steps || earlier == number) {
+			if (earlier < 0 || earlier >= number) {
 				throw new InvalidValueException("steps." + number + ".after",
-						"names step " + earlier + "; name other steps of the same job");
+						"names step " + earlier + "; name only steps that stand before it");
 			}
 		}
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/JobState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/JobState.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +35,7 @@
 				this.steps.put(key, new StepState(this, key, workflow.steps().get(number)));
 			}
 		}
+		expect(new RunTimes());
 	}
 
 	Workflow workflow() {
@@ -85,6 +88,43 @@
 		return true;
 	}
 
+	/**
+	 * Works out anew how long its steps will probably take.
+	 * @param times what was learnt of tasks
+	 */
+	void expect(RunTimes times) {
+		Map<StepKey, Long> followers = new HashMap<>();
+		List<StepState> lastFirst = new ArrayList<>(this.steps.values());
+		Collections.reverse(lastFirst);
+		for (StepState step : lastFirst) {
+			step.expect(times, followers.getOrDefault(step.key(), 0L));
+			for (int earlier : step.spec().after()) {
+				followers.merge(new StepKey(step.occurrence(), earlier), step.tailMillis(), Math::max);
+			}
+		}
+	}
+
+	/**
+	 * How long the longest chain of work of an occurrence will probably take.
+	 * @param occurrence the occurrence
+	 * @return milliseconds
+	 */
+	long chainMillis(int occurrence) {
+		long longest = 0;
+		for (int number = 0; number < this.workflow.steps().size(); number++) {
+			longest = Math.max(longest, step(occurrence, number).tailMillis());
+		}
+		return longest;
+	}
+
+	double remainingCoreSeconds() {
+		double sum = 0;
+		for (StepState step : this.steps.values()) {
+			sum += Outlook.coreSeconds(step, step.tasks().stream().filter((task) -> !task.done()).count());
+		}
+		return sum;
+	}
+
 	boolean allDone() {
 		return this.steps.values().stream().allMatch(StepState::done);
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -1,38 +1,47 @@
 package org.almondmount.workflow.impl;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
-import org.almondmount.workflow.FleetCustomer;
 import org.almondmount.workflow.JobQueue;
-import org.almondmount.workflow.WorkerDescription;
-import org.almondmount.workflow.Workflow;
 
 /**
  * Decides what starts now, where, and what gives way to it. Owned by the scheduler.
  */
 final class PlacementRound {
 
-	private static final int URGENT = 0;
+	/** The first units that do not fit; more would leave the fleet idle for guesses. */
+	private static final int MOST_RESERVATIONS = 2;
+
+	/**
+	 * Work that an urgent job beyond its guarantee may have thrown away, in parts of its
+	 * own. An urgent result is worth about three times as much to its caller as the same
+	 * work of the next queue, and what gives way waits for it besides.
+	 */
+	private static final double MOST_THROWN_AWAY = 2.0;
 
 	private final SchedulerState state;
 
 	private final RunLedger ledger;
 
+	private final WaitingWork waiting;
+
 	private final Placer placer = new Placer();
 
 	private final Preemption preemption = new Preemption(this.placer);
 
-	/** The first units that do not fit; more would leave the fleet idle for guesses. */
-	private static final int MOST_RESERVATIONS = 2;
-
 	private final List<Reservation> reservations = new ArrayList<>();
 
+	/** Steps of which a task found no room in this round: the others find none either. */
+	private final Set<StepState> full = new HashSet<>();
+
 	/**
 	 * Room that is being cleared, by the first task of the unit that it is cleared for.
 	 */
@@ -41,6 +50,7 @@
 	PlacementRound(SchedulerState state, RunLedger ledger) {
 		this.state = state;
 		this.ledger = ledger;
+		this.waiting = new WaitingWork(state);
 	}
 
 	void clear() {
@@ -52,165 +62,130 @@
 		if (this.state.epoch() == 0) {
 			return;
 		}
-		List<WorkUnit> units = waitingUnits();
-		units.sort(Comparator.comparing((WorkUnit unit) -> !unit.guaranteed())
-			.thenComparingInt((unit) -> unit.queue().priority())
-			.thenComparing((unit) -> !unit.canBeInTime(this.state.wallMillis()))
-			.thenComparingLong(WorkUnit::latestStartMillis));
+		List<WorkUnit> units = this.waiting.inOrder();
+		Set<TaskState> firsts = units.stream().map(WorkUnit::first).collect(Collectors.toSet());
+		this.cleared.keySet().retainAll(firsts);
 		this.reservations.clear();
-		this.cleared.keySet().removeIf((task) -> units.stream().noneMatch((unit) -> unit.first() == task));
+		this.full.clear();
 		for (WorkUnit unit : units) {
-			place(unit);
+			if (!this.full.contains(unit.step())) {
+				place(unit);
+			}
 		}
 	}
 
 	private void place(WorkUnit unit) {
-		List<Worker> workers = eligible(unit);
-		if (workers.isEmpty()) {
-			return;
-		}
-		Optional<Map<TaskState, Worker>> found = this.placer.place(unit, workers, () -> roomFor(unit));
+		Optional<Map<TaskState, Worker>> found = this.placer.place(unit, unit.workers(), () -> roomFor(unit));
 		if (found.isPresent()) {
 			this.cleared.remove(unit.first());
 			this.ledger.open(unit, found.get());
 			return;
 		}
-		if (unit.guaranteed() && !this.cleared.containsKey(unit.first())) {
-			this.preemption.plan(this.state.steadyMillis(), unit, workers, () -> roomFor(unit), this::mayGiveWay)
-				.ifPresent((plan) -> giveWay(unit, plan));
+		if (!this.cleared.containsKey(unit.first())) {
+			makeRoom(unit);
+		}
+		if (this.cleared.containsKey(unit.first())) {
+			return;
+		}
+		boolean worthKeepingRoom = !unit.outlook().timeliness().waitsBehindAll();
+		if (worthKeepingRoom && this.reservations.size() < MOST_RESERVATIONS) {
+			reserve(unit);
+			return;
 		}
-		if (!this.cleared.containsKey(unit.first()) && this.reservations.size() < MOST_RESERVATIONS) {
-			reserve(unit, workers);
+		if (!unit.guaranteed()) {
+			this.full.add(unit.step());
 		}
 	}
 
-	private void reserve(WorkUnit unit, List<Worker> workers) {
+	private void reserve(WorkUnit unit) {
+		List<Worker> workers = unit.workers();
 		boolean oneRack = this.placer.goesInOneRack(unit, workers);
 		List<List<Worker>> choices = oneRack ? this.placer.racks(unit, workers) : List.of(workers);
 		Reservation.earliest(this.state.steadyMillis(), unit, choices).ifPresent(this.reservations::add);
 	}
 
-	private void giveWay(WorkUnit unit, Preemption.Plan plan) {
-		this.cleared.put(unit.first(), plan.placement());
-		this.state.explain("runs-give-way", "job", unit.step().job().id(), "step", unit.step().number(), "victims",
-				plan.victims().size(), "coreSeconds", Math.round(plan.cost()));
-		plan.victims().forEach(this.ledger::stop);
-	}
-
-	private boolean mayGiveWay(Run run) {
-		StepState step = run.task().step();
-		int priority = this.state.queueOf(step.job()).map(JobQueue::priority).orElse(Integer.MAX_VALUE);
-		return priority > URGENT && step.spec().service().mayMiss() == 0;
-	}
-
-	// Room that was cleared for one unit is not there for any other.
-	private Rooms roomFor(WorkUnit unit) {
-		Rooms rooms = new Rooms();
-		this.cleared.forEach((first, placement) -> {
-			if (first != unit.first()) {
-				placement.forEach((task, worker) -> rooms.take(worker, first.step().spec().demand()));
-			}
-		});
-		for (Reservation reservation : this.reservations) {
-			if (unit.step().spec().estimateMillis() > reservation.inMillis()) {
-				reservation.placement().values().forEach((worker) -> rooms.take(worker, reservation.unit().demand()));
-			}
+	private void makeRoom(WorkUnit unit) {
+		if (unit.guaranteed()) {
+			plan(unit, this::mayGiveWay).or(() -> plan(unit, this::isBeyondGuarantee))
+				.ifPresent((plan) -> giveWay(unit, plan));
+		}
+		else if (unit.queue().urgent() && unit.outlook().timeliness() == Timeliness.IN_TIME) {
+			makeRoomBeyondGuarantee(unit);
 		}
-		return rooms;
 	}
 
-	private List<Worker> eligible(WorkUnit unit) {
-		String label = unit.step().spec().placement().requiredLabel();
-		List<Worker> eligible = new ArrayList<>();
-		for (Worker worker : this.state.workers().values()) {
-			if (!this.state.mayStartOn(worker)) {
-				continue;
-			}
-			WorkerDescription said = worker.description().orElseThrow();
-			if (said.pool().equals(unit.queue().pool()) && (label.isEmpty() || said.labels().contains(label))) {
-				eligible.add(worker);
-			}
+	// A burst of urgent jobs finds the fleet full of work that has time. What has just
+	// begun or is saved loses little by making room, if all of the step's tasks fit then:
+	// one task in time does not help a job whose other tasks wait. The stop itself takes
+	// time, so that a short job gains nothing by it.
+	private void makeRoomBeyondGuarantee(WorkUnit unit) {
+		boolean stopsInTime = this.state.wallMillis() + this.state.policy().stopMillis() <= unit.outlook()
+			.latestStartMillis();
+		if (!stopsInTime) {
+			return;
 		}
-		return eligible;
+		WorkUnit whole = unit.withTasks(unit.step().tasks().stream().filter(this::waitsWithoutRoom).toList());
+		double own = Outlook.coreSeconds(unit.step(), whole.tasks().size());
+		plan(whole, (run) -> mayGiveWay(run) && hasTimeToWait(run, unit.step().expectedMillis()))
+			.filter((plan) -> plan.cost() <= own * MOST_THROWN_AWAY)
+			.ifPresent((plan) -> giveWay(whole, plan));
 	}
 
-	private List<WorkUnit> waitingUnits() {
-		Map<String, Long> urgentDemand = urgentDemand();
-		List<WorkUnit> units = new ArrayList<>();
-		for (JobState job : this.state.jobs().values()) {
-			Optional<JobQueue> queue = this.state.queueOf(job);
-			if (job.over() || queue.isEmpty()) {
-				continue;
-			}
-			boolean guaranteed = isGuaranteed(job, queue.get(), urgentDemand);
-			for (StepState step : job.steps()) {
-				if (!step.done() && isDue(step) && job.turnOf(step)) {
-					addUnits(units, queue.get(), step, guaranteed);
-				}
-			}
-		}
-		return units;
+	private boolean waitsWithoutRoom(TaskState task) {
+		return task.idle() && !task.done() && !this.cleared.containsKey(task);
 	}
 
-	private boolean isDue(StepState step) {
-		long due = step.job().workflow().schedule().dueAt(step.occurrence());
-		return due <= this.state.wallMillis() && step.notBeforeMillis() <= this.state.steadyMillis();
+	private Optional<Preemption.Plan> plan(WorkUnit unit, Predicate<Run> mayGiveWay) {
+		return this.preemption.plan(this.state.steadyMillis(), unit, unit.workers(), () -> roomFor(unit), mayGiveWay);
 	}
 
-	private void addUnits(List<WorkUnit> units, JobQueue queue, StepState step, boolean guaranteed) {
-		long due = dueMillis(step);
-		if (step.spec().gang()) {
-			if (step.allIdle()) {
-				units.add(new WorkUnit(queue, step, step.tasks(), due, guaranteed));
-			}
-			return;
+	private void giveWay(WorkUnit unit, Preemption.Plan plan) {
+		if (unit.gang()) {
+			this.cleared.put(unit.first(), plan.placement());
 		}
-		for (TaskState task : step.tasks()) {
-			if (task.idle() && !task.done()) {
-				units.add(new WorkUnit(queue, step, List.of(task), due, guaranteed));
-			}
+		else {
+			plan.placement().forEach((task, worker) -> this.cleared.put(task, Map.of(task, worker)));
 		}
+		this.state.explain("runs-give-way", "job", unit.step().job().id(), "step", unit.step().number(), "guaranteed",
+				unit.guaranteed(), "victims", plan.victims().size(), "coreSeconds", Math.round(plan.cost()));
+		plan.victims().forEach(this.ledger::stop);
 	}
 
-	private static long dueMillis(StepState step) {
-		Workflow workflow = step.job().workflow();
-		return Math.max(workflow.acceptedAtMillis(), workflow.schedule().dueAt(step.occurrence()));
+	// Where urgent work of other customers took all room beyond their own guarantees.
+	private boolean isBeyondGuarantee(Run run) {
+		StepState step = run.task().step();
+		return !this.waiting.isGuaranteed(step.job()) && step.spec().service().mayMiss() == 0;
 	}
 
-	private static boolean isGuaranteed(JobState job, JobQueue queue, Map<String, Long> urgentDemand) {
-		return queue.priority() == URGENT && urgentDemand.getOrDefault(job.id(), Long.MAX_VALUE) <= 0;
+	private boolean mayGiveWay(Run run) {
+		StepState step = run.task().step();
+		boolean urgent = this.state.queueOf(step.job()).map(JobQueue::urgent).orElse(false);
+		return !urgent && step.spec().service().mayMiss() == 0;
 	}
 
-	// A customer's urgent jobs belong to its guarantee in the order of their arrival, as
-	// long as the accelerators of all of them together stay within it. The value kept for
-	// a job is by how much the guarantee would be exceeded with it.
-	private Map<String, Long> urgentDemand() {
-		Map<String, Long> byCustomer = new HashMap<>();
-		Map<String, Long> byJob = new HashMap<>();
-		for (JobState job : this.state.jobs().values()) {
-			boolean urgent = this.state.queueOf(job).map((queue) -> queue.priority() == URGENT).orElse(false);
-			Optional<FleetCustomer> customer = this.state.configuration().customer(job.workflow().customer());
-			if (job.over() || !urgent || customer.isEmpty()) {
-				continue;
-			}
-			long sum = byCustomer.getOrDefault(customer.get().name(), 0L) + accelerators(job);
-			long over = sum - customer.get().guaranteedAccelerators();
-			if (over <= 0) {
-				byCustomer.put(customer.get().name(), sum);
-			}
-			byJob.put(job.id(), over);
-		}
-		return byJob;
+	// A run that starts anew after what it gave way to has ended must still be in time.
+	private boolean hasTimeToWait(Run run, long millis) {
+		StepState step = run.task().step();
+		long again = this.state.wallMillis() + this.state.policy().stopMillis() + millis;
+		return this.state.queueOf(step.job())
+			.map((queue) -> again <= Outlook.latestStart(queue, step, WaitingWork.dueMillis(step), 1))
+			.orElse(false);
 	}
 
-	private static long accelerators(JobState job) {
-		long sum = 0;
-		for (StepState step : job.steps()) {
-			if (!step.done()) {
-				sum += step.spec().demand().accelerators() * step.spec().count();
+	// Room that was cleared for one unit is not there for any other.
+	private Rooms roomFor(WorkUnit unit) {
+		Rooms rooms = new Rooms();
+		this.cleared.forEach((first, placement) -> {
+			if (first != unit.first()) {
+				placement.forEach((task, worker) -> rooms.take(worker, first.step().spec().demand()));
+			}
+		});
+		for (Reservation reservation : this.reservations) {
+			if (unit.step().expectedMillis() > reservation.inMillis()) {
+				reservation.placement().values().forEach((worker) -> rooms.take(worker, reservation.unit().demand()));
 			}
 		}
-		return sum;
+		return rooms;
 	}
 
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/Reservation.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Reservation.java
@@ -70,8 +70,8 @@
 		if (left != Long.MAX_VALUE) {
 			return left;
 		}
-		long estimate = run.task().step().spec().estimateMillis();
-		return (estimate > 0) ? estimate : UNKNOWN_LEFT_MILLIS;
+		long expected = run.task().step().expectedMillis();
+		return (expected > 0) ? expected : UNKNOWN_LEFT_MILLIS;
 	}
 
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -18,8 +18,14 @@
 
 	private final long epoch;
 
+	/** Whether it goes on from a checkpoint. */
+	private final boolean resumed;
+
 	private State state;
 
+	/** Whether its beginning was seen in this term. */
+	private boolean beginningSeen;
+
 	private boolean stopping;
 
 	private long lastOrderMillis;
@@ -38,6 +44,7 @@
 		this.worker = worker;
 		this.epoch = epoch;
 		this.state = state;
+		this.resumed = !task.checkpoint().isEmpty();
 	}
 
 	TaskState task() {
@@ -101,6 +108,7 @@
 
 	void seenRunning(long now, int progress) {
 		if (this.state != State.RUNNING) {
+			this.beginningSeen = this.state == State.ORDERED;
 			this.state = State.RUNNING;
 			this.startedMillis = now;
 			this.progressedMillis = now;
@@ -132,6 +140,14 @@
 		return (now - this.startedMillis) * (WHOLE - this.percent) / this.percent;
 	}
 
+	/**
+	 * Whether the time since it was first seen is that of the whole task.
+	 * @return whether it is
+	 */
+	boolean seenWhole() {
+		return this.beginningSeen && !this.resumed;
+	}
+
 	boolean running() {
 		return this.state == State.RUNNING;
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
@@ -67,6 +67,7 @@
 				run.worker().target(), "life", run.worker().life());
 		if (how.done()) {
 			run.worker().health().succeeded();
+			learn(run);
 			taskDone(step, task);
 		}
 		else if (how.countsAsAttempt()) {
@@ -114,10 +115,8 @@
 	}
 
 	// Between choice and order the run was being kept, and the worker's zone may have
-	// been
-	// taken out, or the worker have said that it leaves. Nothing was sent yet, so the
-	// runs
-	// can be closed as never begun. A gang is ordered whole or not at all.
+	// been taken out, or the worker have said that it leaves. Nothing was sent yet, so
+	// the runs can be closed as never begun. A gang is ordered whole or not at all.
 	private void order(StepState step, List<Run> runs) {
 		boolean wanted = !step.job().over();
 		for (Run run : runs) {
@@ -136,6 +135,16 @@
 		}
 	}
 
+	private void learn(Run run) {
+		StepState step = run.task().step();
+		if (!run.seenWhole() || step.spec().lasting()) {
+			return;
+		}
+		long millis = this.state.steadyMillis() - run.startedMillis();
+		step.ran(millis);
+		this.state.runTimes().learn(step.job().workflow().queue(), step.spec().estimateMillis(), millis);
+	}
+
 	private void taskDone(StepState step, TaskState task) {
 		JobState job = step.job();
 		if (step.spec().lasting()) {
@@ -168,8 +177,7 @@
 	}
 
 	// The worker ends the other members by itself, but one whose start is still on its
-	// way
-	// would wait for them until the gang's time runs out.
+	// way would wait for them until the gang's time runs out.
 	private void stopAll(StepState step) {
 		step.tasks().forEach((task) -> List.copyOf(task.openRuns()).forEach(this::stop));
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/SchedulerState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/SchedulerState.java
@@ -27,6 +27,8 @@
 
 	private final WriteAhead writeAhead = new WriteAhead();
 
+	private final RunTimes runTimes = new RunTimes();
+
 	private List<WorkflowCommand> commands = new ArrayList<>();
 
 	private FleetConfiguration configuration = FleetConfiguration.NONE;
@@ -61,6 +63,10 @@
 		return this.workers.computeIfAbsent(target, (name) -> new Worker(name, life, steadyMillis()));
 	}
 
+	RunTimes runTimes() {
+		return this.runTimes;
+	}
+
 	WriteAhead writeAhead() {
 		return this.writeAhead;
 	}
@@ -105,6 +111,7 @@
 		this.jobs.clear();
 		this.workers.clear();
 		this.writeAhead.clear();
+		this.runTimes.clear();
 	}
 
 	void now(Instant instant) {
--- a/core/src/main/java/org/almondmount/workflow/impl/StepState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/StepState.java
@@ -19,6 +19,14 @@
 
 	private final List<TaskState> tasks;
 
+	private long expectedMillis;
+
+	private long tailMillis;
+
+	private long ranMillis;
+
+	private int ran;
+
 	private boolean done;
 
 	private int failedRun;
@@ -29,6 +37,7 @@
 		this.job = job;
 		this.key = key;
 		this.spec = spec;
+		this.expectedMillis = spec.estimateMillis();
 		this.tasks = new ArrayList<>(spec.count());
 		for (int index = 0; index < spec.count(); index++) {
 			this.tasks.add(new TaskState(this, index));
@@ -122,6 +131,43 @@
 		return best;
 	}
 
+	/**
+	 * How long one of its tasks will probably run.
+	 * @return milliseconds, 0 where nothing is known
+	 */
+	long expectedMillis() {
+		return this.expectedMillis;
+	}
+
+	/**
+	 * How long the longest chain of work will probably take from the beginning of this
+	 * step.
+	 * @return milliseconds
+	 */
+	long tailMillis() {
+		return this.tailMillis;
+	}
+
+	/**
+	 * Takes note of a task that ran from its beginning to its end.
+	 * @param millis how long it ran
+	 */
+	void ran(long millis) {
+		this.ranMillis += millis;
+		this.ran++;
+	}
+
+	// Tasks of one step are alike, so one that has ended tells more than any guess.
+	void expect(RunTimes times, long followersMillis) {
+		this.expectedMillis = (this.ran > 0) ? this.ranMillis / this.ran
+				: times.expected(this.job.workflow().queue(), this.spec.estimateMillis());
+		this.tailMillis = this.expectedMillis + followersMillis;
+	}
+
+	boolean anyIdle() {
+		return this.tasks.stream().anyMatch((task) -> task.idle() && !task.done());
+	}
+
 	boolean allIdle() {
 		return this.tasks.stream().allMatch(TaskState::idle);
 	}
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/WaitingWork.java
@@ -0,0 +1,126 @@
+package org.almondmount.workflow.impl;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+import org.almondmount.workflow.JobQueue;
+import org.almondmount.workflow.WorkerDescription;
+import org.almondmount.workflow.Workflow;
+
+/**
+ * Finds what waits for a worker, and the order in which it is placed. Owned by the
+ * scheduler.
+ */
+final class WaitingWork {
+
+	/**
+	 * Guaranteed work first; what is of no use any more last. In between the urgent
+	 * queues come first, within a queue what can still be in time, and of that what has
+	 * to start earliest.
+	 */
+	private static final Comparator<WorkUnit> ORDER = Comparator.comparing((WorkUnit unit) -> !unit.guaranteed())
+		.thenComparing((unit) -> unit.outlook().timeliness().waitsBehindAll())
+		.thenComparingInt((unit) -> unit.queue().priority())
+		.thenComparing((unit) -> !unit.outlook().timeliness().earliestFirst())
+		.thenComparingDouble(WaitingWork::rankWithin);
+
+	private final SchedulerState state;
+
+	private GuaranteedJobs guaranteed = GuaranteedJobs.NONE;
+
+	WaitingWork(SchedulerState state) {
+		this.state = state;
+	}
+
+	/**
+	 * What could start now if there was room.
+	 * @return the units in the order in which they are placed
+	 */
+	List<WorkUnit> inOrder() {
+		this.guaranteed = GuaranteedJobs.of(this.state);
+		List<WorkUnit> units = new ArrayList<>();
+		for (JobState job : this.state.jobs().values()) {
+			Optional<JobQueue> queue = this.state.queueOf(job);
+			if (job.over() || queue.isEmpty()) {
+				continue;
+			}
+			if (job.steps().stream().noneMatch(StepState::anyIdle)) {
+				continue;
+			}
+			job.expect(this.state.runTimes());
+			for (StepState step : job.steps()) {
+				if (!step.done() && isDue(step) && job.turnOf(step) && step.anyIdle()) {
+					addUnits(units, queue.get(), step, isGuaranteed(job));
+				}
+			}
+		}
+		units.sort(ORDER);
+		return units;
+	}
+
+	/**
+	 * Whether a job belonged to its customer's guarantee when the order was last made.
+	 * @param job the job
+	 * @return whether it did
+	 */
+	boolean isGuaranteed(JobState job) {
+		return this.guaranteed.contains(job);
+	}
+
+	private static double rankWithin(WorkUnit unit) {
+		Outlook outlook = unit.outlook();
+		return outlook.timeliness().earliestFirst() ? outlook.latestStartMillis() : outlook.remainingCoreSeconds();
+	}
+
+	private boolean isDue(StepState step) {
+		long due = step.job().workflow().schedule().dueAt(step.occurrence());
+		return due <= this.state.wallMillis() && step.notBeforeMillis() <= this.state.steadyMillis();
+	}
+
+	private void addUnits(List<WorkUnit> units, JobQueue queue, StepState step, boolean guaranteed) {
+		List<Worker> eligible = eligible(queue, step);
+		if (eligible.isEmpty()) {
+			return;
+		}
+		Outlook outlook = Outlook.of(this.state.wallMillis(), queue, step, dueMillis(step), eligible);
+		if (step.spec().gang()) {
+			if (step.allIdle()) {
+				units.add(new WorkUnit(queue, step, step.tasks(), eligible, outlook, guaranteed));
+			}
+			return;
+		}
+		for (TaskState task : step.tasks()) {
+			if (task.idle() && !task.done()) {
+				units.add(new WorkUnit(queue, step, List.of(task), eligible, outlook, guaranteed));
+			}
+		}
+	}
+
+	/**
+	 * Since when a step's job could have run.
+	 * @param step the step
+	 * @return milliseconds since 1970
+	 */
+	static long dueMillis(StepState step) {
+		Workflow workflow = step.job().workflow();
+		return Math.max(workflow.acceptedAtMillis(), workflow.schedule().dueAt(step.occurrence()));
+	}
+
+	private List<Worker> eligible(JobQueue queue, StepState step) {
+		String label = step.spec().placement().requiredLabel();
+		List<Worker> eligible = new ArrayList<>();
+		for (Worker worker : this.state.workers().values()) {
+			if (!this.state.mayStartOn(worker)) {
+				continue;
+			}
+			WorkerDescription said = worker.description().orElseThrow();
+			if (said.pool().equals(queue.pool()) && (label.isEmpty() || said.labels().contains(label))) {
+				eligible.add(worker);
+			}
+		}
+		return eligible;
+	}
+
+}
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkUnit.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkUnit.java
@@ -12,36 +12,15 @@
  * @param queue the queue of its job
  * @param step its step
  * @param tasks its tasks
- * @param dueMillis since when it could have run, in milliseconds since 1970
+ * @param workers those that may run it
+ * @param outlook how its step stands against the job's objective
  * @param guaranteed whether it belongs to its customer's guarantee
  */
-record WorkUnit(JobQueue queue, StepState step, List<TaskState> tasks, long dueMillis, boolean guaranteed) {
+record WorkUnit(JobQueue queue, StepState step, List<TaskState> tasks, List<Worker> workers, Outlook outlook,
+		boolean guaranteed) {
 
-	/**
-	 * By when it has to start to be in time.
-	 * @return milliseconds since 1970, as far as its estimates go
-	 */
-	long latestStartMillis() {
-		double chain = chainMillis(this.step);
-		double objective = this.queue.stretch() * chain + this.queue.latencyObjectiveMillis();
-		return this.dueMillis + (long) (objective - chain);
-	}
-
-	/**
-	 * Whether it can still be in time.
-	 * @param wallMillis milliseconds since 1970
-	 * @return whether it can, as far as its estimates go
-	 */
-	boolean canBeInTime(long wallMillis) {
-		return wallMillis <= latestStartMillis();
-	}
-
-	private static double chainMillis(StepState step) {
-		double longest = 0;
-		for (int earlier : step.spec().after()) {
-			longest = Math.max(longest, chainMillis(step.job().step(step.occurrence(), earlier)));
-		}
-		return longest + step.spec().estimateMillis();
+	WorkUnit withTasks(List<TaskState> others) {
+		return new WorkUnit(this.queue, this.step, others, this.workers, this.outlook, this.guaranteed);
 	}
 
 	TaskState first() {
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
@@ -17,8 +17,8 @@
  */
 final class WorkerReports {
 
-	/** A stop takes up to 900 ms, and the order its way. */
-	private static final long STOP_BEFORE_LEAVING_MILLIS = 1_300;
+	/** The way of an order to stop, and of the word that it is done, in milliseconds. */
+	private static final long ORDER_WAY_MILLIS = 400;
 
 	/** Three reports without a percent more. */
 	private static final long STANDSTILL_MILLIS = 3_000;
@@ -117,7 +117,8 @@
 	// last moment is kept; what does not has nothing to gain by an earlier end.
 	private void leaveInTime(long now, Run run) {
 		Worker worker = run.worker();
-		boolean going = worker.draining() && now >= worker.leavesMillis() - STOP_BEFORE_LEAVING_MILLIS;
+		boolean going = worker.draining()
+				&& now >= worker.leavesMillis() - this.state.policy().stopMillis() - ORDER_WAY_MILLIS;
 		if (going && run.running() && !run.stopping() && run.task().step().spec().checkpoints()
 				&& run.leftMillis(now) > worker.leavesMillis() - now) {
 			this.state.explain("run-moves", "task", run.task().id(), "run", run.number(), "worker", worker.target(),
@@ -127,10 +128,9 @@
 	}
 
 	// A worker on which tasks stand still looks busy and healthy. A task that moves takes
-	// a
-	// tenth of a second for a percent; one that was seen at the same percentage for
-	// seconds
-	// is better begun elsewhere. A gang stands still as long as a member is missing.
+	// a tenth of a second for a percent; one that was seen at the same percentage for
+	// seconds is better begun elsewhere. A gang stands still as long as a member is
+	// missing.
 	private void leaveStandstill(long now, Run run) {
 		boolean still = run.running() && !run.stopping() && run.stillMillis() >= STANDSTILL_MILLIS;
 		if (!still || run.task().step().spec().lasting() || !wholeGangRuns(run)) {
@@ -170,10 +170,8 @@
 
 	// What ran in the former life is gone. But a call to begin a run may reach the worker
 	// seconds after it was given up, and a worker that came back under its name would
-	// carry
-	// it out, so that the task would run twice. The order to stop it there settles that:
-	// a
-	// run that was stopped is refused from then on.
+	// carry it out, so that the task would run twice. The order to stop it there settles
+	// that: a run that was stopped is refused from then on.
 	private void outlived(Run run, Worker next) {
 		if (run.state() == Run.State.KEEPING) {
 			run.worker().remove(run);
@@ -214,10 +212,8 @@
 	}
 
 	// What an earlier term ordered and the worker neither runs nor lists as ended was
-	// never
-	// begun: the worker obeys this epoch now and refuses whatever still comes of an
-	// earlier
-	// one. Only the order to stop it settles that for certain.
+	// never begun: the worker obeys this epoch now and refuses whatever still comes of an
+	// earlier one. Only the order to stop it settles that for certain.
 	private void settleInherited(Worker worker, WorkerReport report) {
 		Set<String> running = new HashSet<>();
 		report.running().forEach((run) -> running.add(run.task() + "/" + run.run()));
--- /dev/null
+++ b/core/src/test/java/org/almondmount/workflow/UrgentBurstTests.java
@@ -0,0 +1,122 @@
+package org.almondmount.workflow;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Bursts of urgent jobs beyond their customers' guarantees, on a fleet that is full or
+ * nearly so. Objectives are three times a job's estimate and a second.
+ */
+class UrgentBurstTests extends SchedulerFixture {
+
+	// A job wider than the fleet and one that fits wait for the same workers. The wide
+	// one
+	// came first, and would be late even if it got all of them. Placed by arrival, both
+	// callers get their results late.
+	@Test
+	void aJobThatCannotBeInTimeDoesNotMakeTheNextOneLate() {
+		begin(0);
+		feed(new WorkflowEvent.JobAccepted(job("wide", 0, step(9, 8))));
+		feed(new WorkflowEvent.JobAccepted(job("fits", 0, step(2, 8))));
+		report(0, false);
+		report(1, false);
+		assertThat(keepAll(this.commands)).extracting((start) -> start.task().job()).containsOnly("fits").hasSize(2);
+	}
+
+	// The fleet is full of work that has just begun and has time. The caller of an urgent
+	// job would wait for all of it to end; those of the others lose a moment.
+	@Test
+	void whatHasJustBegunAndHasTimeGivesWay() {
+		begin(2);
+		startsOf(job("less", 2, step(4, 4))).forEach(this::run);
+		assertThat(stopsFor(job("urgent", 0, step(4, 4)))).hasSize(4);
+	}
+
+	@Test
+	void whatWouldLoseMoreThanTheUrgentJobNeedsGoesOn() {
+		begin(2);
+		startsOf(job("less", 2, timed(4, 4, 100_000, false))).forEach(this::run);
+		this.now += 20_000;
+		report(0, false);
+		report(1, false);
+		assertThat(stopsFor(job("urgent", 0, step(4, 4)))).isEmpty();
+	}
+
+	@Test
+	void whatWouldBeLateItselfGoesOn() {
+		begin(2);
+		startsOf(job("less", 2, timed(4, 4, 10_000, true))).forEach(this::run);
+		this.now += 12_000;
+		report(0, false);
+		report(1, false);
+		assertThat(stopsFor(job("urgent", 0, step(4, 4)))).isEmpty();
+	}
+
+	// Three of four tasks would fit after a stop. The caller would still wait for the
+	// fourth, and what was stopped for the three had lost its work for nothing.
+	@Test
+	void nothingGivesWayToAJobOfWhichOnlyAPartWouldFit() {
+		begin(2);
+		startsOf(jobOf("other", "hers", 0, step(1, 4))).forEach(this::run);
+		startsOf(job("less", 2, step(3, 4))).forEach(this::run);
+		assertThat(stopsFor(job("urgent", 0, gang(4, 4)))).isEmpty();
+	}
+
+	@Test
+	void nothingGivesWayToAJobThatTheStopItselfMakesLate() {
+		begin(2);
+		startsOf(job("less", 2, step(4, 4))).forEach(this::run);
+		Workflow old = job("urgent", 0, timed(4, 4, 300, false));
+		this.now += 800;
+		report(0, false);
+		report(1, false);
+		assertThat(stopsFor(old)).isEmpty();
+	}
+
+	// Another customer's urgent work has filled the fleet beyond its own guarantee.
+	// Nothing
+	// less urgent is left to stop, and the guarantee has to be there all the same.
+	@Test
+	void aGuaranteeIsReclaimedFromUrgentWorkBeyondAnotherOne() {
+		begin(2);
+		startsOf(jobOf("other", "hers", 0, step(4, 4))).forEach(this::run);
+		assertThat(stopsFor(job("mine", 0, step(2, 4)))).hasSize(2);
+	}
+
+	// What is of no use any more waits behind work of any priority that is.
+	@Test
+	void anExpiredJobWaitsBehindLessUrgentWorkThatIsOfUse() {
+		begin(0);
+		feed(new WorkflowEvent.JobAccepted(job("expired", 0, step(2, 8))));
+		this.now += 100_000;
+		feed(new WorkflowEvent.JobAccepted(job("fresh", 2, step(1, 8))));
+		report(0, false);
+		assertThat(keepAll(this.commands)).extracting((start) -> start.task().job()).containsExactly("fresh");
+	}
+
+	// A stream of newer jobs would keep an old one waiting for ever.
+	@Test
+	void aJobThatWaitedVeryLongGoesFirstAgain() {
+		begin(0);
+		feed(new WorkflowEvent.JobAccepted(job("starved", 2, step(2, 8))));
+		this.now += 300_000;
+		feed(new WorkflowEvent.JobAccepted(job("fresh", 2, step(1, 8))));
+		report(0, false);
+		assertThat(keepAll(this.commands)).extracting((start) -> start.task().job()).containsExactly("starved");
+	}
+
+	private List<WorkflowCommand> stopsFor(Workflow job) {
+		return feed(new WorkflowEvent.JobAccepted(job)).stream()
+			.filter(WorkflowCommand.StopRun.class::isInstance)
+			.toList();
+	}
+
+	private static Step timed(int count, long accelerators, long millis, boolean checkpoints) {
+		return new Step(count, amount(accelerators), millis, List.of(), checkpoints, false, Step.Placement.ANYWHERE,
+				false, Step.ServiceTerms.NONE);
+	}
+
+}
--- a/fleet/src/main/java/org/almondmount/fleet/FleetSettings.java
+++ b/fleet/src/main/java/org/almondmount/fleet/FleetSettings.java
@@ -15,9 +15,11 @@
  * @param lease for how long workers go on without a word of the holder
  * @param termLength how long a term goes on after its last commit
  * @param drain time for an orderly end
+ * @param stop how long a worker takes at most to end a run
+ * @param status how long callers can ask for a job that has ended
  */
 public record FleetSettings(String name, String zone, InetSocketAddress peers, String sharedKey, Duration lease,
-		Duration termLength, Duration drain) {
+		Duration termLength, Duration drain, Duration stop, Duration status) {
 
 	/** Two words of a peer may be missing before its connection counts as dead. */
 	private static final Duration PEER_SILENCE = Duration.ofMillis(2_500);
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -119,7 +119,9 @@
 		this.term = new TermDriver(new TermSettings(run, settings.peerAddress(), settings.termLength().toMillis()),
 				store, this.loop, this.patience, telemetry, this::writesOf, new TermListener());
 		this.holder = new HolderDesk(
-				new DefaultWorkflowScheduler(SchedulerPolicy.DEFAULT.withLeaseMillis(settings.lease().toMillis())),
+				new DefaultWorkflowScheduler(SchedulerPolicy.DEFAULT.withLeaseMillis(settings.lease().toMillis())
+					.withStopMillis(settings.stop().toMillis())
+					.withStatusMillis(settings.status().toMillis())),
 				store, this.loop, telemetry, this.term, this.targets, settings.lease().toMillis());
 		this.desk = new FrontDesk(store, this.loop, this.patience, telemetry, this.holder, this.term, this.peers);
 		this.declared = new DeclaredState(store, reader, this.loop, this::inForce);
@@ -297,8 +299,7 @@
 	}
 
 	// Where nobody listens any more the process that listened there is gone, and with it
-	// the
-	// term that it held: nobody has to wait for its end.
+	// the term that it held: nobody has to wait for its end.
 	private void dialFailed(String address, Throwable failure) {
 		this.peers.dialFailed(address);
 		Optional<TermRow> held = this.term.holder().filter((row) -> row.address().equals(address));
