Rows of ended jobs are removed once nobody may ask for them any more

Change: a minute after the time for which a job's status is kept, its row of the intake goes, then its progress; progress without a job, left by a holder that was lost in between, goes when the next one loads. Tests: EndedJobsTests.

--- a/core/src/main/java/org/almondmount/workflow/WorkflowCommand.java
+++ b/core/src/main/java/org/almondmount/workflow/WorkflowCommand.java
@@ -27,6 +27,13 @@
 	record AcknowledgeEnds(String target, WorkerLife life, long upTo) implements WorkflowCommand {
 	}
 
+	/**
+	 * Nobody asks for these jobs any more: remove all that is kept of them and answer
+	 * with {@link WorkflowEvent.Forgotten}.
+	 */
+	record Forget(List<String> jobs) implements WorkflowCommand {
+	}
+
 	/** The cancelling of a job is kept. */
 	record CancelKept(String job) implements WorkflowCommand {
 	}
--- a/core/src/main/java/org/almondmount/workflow/WorkflowEvent.java
+++ b/core/src/main/java/org/almondmount/workflow/WorkflowEvent.java
@@ -55,6 +55,10 @@
 	record Kept(long sequence) implements WorkflowEvent {
 	}
 
+	/** Nothing is kept of these jobs any more. */
+	record Forgotten(List<String> jobs) implements WorkflowEvent {
+	}
+
 	/** Time has passed. */
 	record Tick() implements WorkflowEvent {
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -26,11 +26,14 @@
 
 	private final PlacementRound round;
 
+	private final EndedJobs endedJobs;
+
 	public DefaultWorkflowScheduler(SchedulerPolicy policy) {
 		this.state = new SchedulerState(policy);
 		this.ledger = new RunLedger(this.state);
 		this.reports = new WorkerReports(this.state, this.ledger);
 		this.round = new PlacementRound(this.state, this.ledger);
+		this.endedJobs = new EndedJobs(this.state);
 	}
 
 	@Override
@@ -77,6 +80,7 @@
 	private boolean term(WorkflowEvent event) {
 		if (event instanceof WorkflowEvent.TermBegan began) {
 			this.round.clear();
+			this.endedJobs.clear();
 			this.state.beginTerm(began.epoch());
 			began.jobs().forEach(this::restore);
 			return true;
@@ -110,6 +114,10 @@
 		}
 		else if (event instanceof WorkflowEvent.Tick) {
 			this.reports.timePassed();
+			this.endedJobs.timePassed();
+		}
+		else if (event instanceof WorkflowEvent.Forgotten forgotten) {
+			this.endedJobs.forgotten(forgotten.jobs());
 		}
 	}
 
@@ -158,8 +166,7 @@
 	}
 
 	// Runs of earlier terms may name several lives of one worker. They are all taken to
-	// the
-	// latest one, where each is found, or stopped for certain.
+	// the latest one, where each is found, or stopped for certain.
 	private void inherit(TaskState task, OpenRun open) {
 		Worker worker = this.state.worker(open.target(), open.life());
 		if (worker.life().bornMillis() < open.life().bornMillis()) {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -42,6 +42,9 @@
 
 	private static final int PAGE = 500;
 
+	/** Progress without a job that is removed in one transaction. */
+	private static final int MOST_ORPHANS = 90;
+
 	/** A page of rows is larger than other answers. */
 	private static final Duration PAGE_TIMEOUT = Duration.ofMillis(1_000);
 
@@ -83,6 +86,9 @@
 
 	private boolean intakeAsked;
 
+	/** Jobs beside which a cancel is kept. */
+	private final Set<String> cancelRows = new HashSet<>();
+
 	HolderDesk(WorkflowScheduler scheduler, RowStore store, Loop loop, Telemetry telemetry, TermDriver term,
 			TargetLinks targets, long leaseMillis) {
 		this.scheduler = scheduler;
@@ -206,6 +212,9 @@
 			this.savingSequence = keep.sequence();
 			this.term.save(keep.sequence());
 		}
+		else if (command instanceof WorkflowCommand.Forget forget) {
+			forget(forget.jobs());
+		}
 		else if (command instanceof WorkflowCommand.CancelKept kept) {
 			List<Consumer<Boolean>> waiting = this.cancels.remove(kept.job());
 			if (waiting != null) {
@@ -234,6 +243,42 @@
 		}
 	}
 
+	// A job counts as accepted while its row of the intake is there, so that goes first.
+	// A
+	// holder that is lost in between leaves progress of a job that is not known any more;
+	// the next one removes it when it loads.
+	private void forget(List<String> jobs) {
+		List<Write> rows = new ArrayList<>();
+		for (String job : jobs) {
+			rows.add(new Write(Tables.job(job), Optional.empty()));
+			if (this.cancelRows.contains(job)) {
+				rows.add(new Write(Tables.cancel(job), Optional.empty()));
+			}
+		}
+		remove(rows, () -> forgetProgress(jobs, () -> {
+			this.cancelRows.removeAll(jobs);
+			feed(new WorkflowEvent.Forgotten(jobs));
+		}));
+	}
+
+	private void forgetProgress(List<String> jobs, Runnable then) {
+		remove(jobs.stream().map((job) -> new Write(Tables.progress(job), Optional.empty())).toList(), then);
+	}
+
+	// What can't be removed now stays where it is, and is tried again later.
+	private void remove(List<Write> rows, Runnable then) {
+		long epoch = this.loadingEpoch;
+		this.loop.then(this.store.commit(List.of(), rows, PAGE_TIMEOUT), (ending) -> {
+			if (!(ending instanceof RowStore.Commit.Committed)) {
+				LOG.warn("rows-not-removed", "rows", rows.size(), "why", ending);
+				return;
+			}
+			if (this.loadingEpoch == epoch) {
+				then.run();
+			}
+		});
+	}
+
 	private void load(long epoch) {
 		readAll(Tables.INTAKE, "", new ArrayList<>(), Long.MAX_VALUE, epoch, (intake) -> {
 			this.intakeVersion = intake.version();
@@ -262,6 +307,16 @@
 			kept.add(new KeptJob(job, Optional.ofNullable(records.get(job.id())), cancelled.contains(job.id())));
 		}
 		LOG.info("term-loaded", "epoch", epoch, "jobs", kept.size(), "cancelled", cancelled.size());
+		this.cancelRows.clear();
+		this.cancelRows.addAll(cancelled);
+		List<String> orphans = records.keySet()
+			.stream()
+			.filter((job) -> !jobs.containsKey(job))
+			.limit(MOST_ORPHANS)
+			.toList();
+		if (!orphans.isEmpty()) {
+			forgetProgress(orphans, () -> LOG.info("orphans-removed", "jobs", orphans.size()));
+		}
 		this.loaded = true;
 		feed(new WorkflowEvent.TermBegan(epoch, kept));
 		this.targets.announceHolder(epoch);
@@ -324,6 +379,7 @@
 			return;
 		}
 		String job = Tables.jobOf(row.place());
+		this.cancelRows.add(job);
 		if (this.scheduler.phase(job).map((phase) -> !phase.over()).orElse(false)) {
 			feed(new WorkflowEvent.CancelRequested(job));
 		}
