--- a/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
@@ -214,10 +214,8 @@
 			return;
 		}
 		// The process that stood here before may have sent the same order, and its call
-		// may
-		// still be carried out. So a refusal is only told once the worker was told to
-		// stop
-		// the run, after which it never begins.
+		// may still be carried out. So a refusal is only told once the worker was told to
+		// stop the run, after which it never begins.
 		run.why(refusal.get());
 		run.stopWanted(true);
 		sendStop(run);
@@ -272,8 +270,7 @@
 		}
 		begin(said.life());
 		// Announcements overtake each other; a worker that leaves does not come back in
-		// this
-		// life, so an older word that it is ready changes nothing.
+		// this life, so an older word that it is ready changes nothing.
 		if (draining() && !said.draining()) {
 			return;
 		}
@@ -306,8 +303,7 @@
 
 	// A new life knows nothing of the former one's runs, ends and orders. A look that was
 	// sent before the worker had told its name brings the same life without it; taken as
-	// it
-	// is, the holder's orders for that life would not be known for what they are.
+	// it is, the holder's orders for that life would not be known for what they are.
 	private void begin(WorkerLife next) {
 		if (next.equals(this.life)) {
 			return;
@@ -372,8 +368,7 @@
 	}
 
 	// A run that was told to stop, and is in neither list of a look that was sent after
-	// the
-	// stop was answered, was never begun and will be refused from now on.
+	// the stop was answered, was never begun and will be refused from now on.
 	private void settle(WorkerEvent.Looked looked) {
 		for (OrderedRun run : List.copyOf(this.orders.values())) {
 			TaskId task = run.order().task();
@@ -420,8 +415,7 @@
 	}
 
 	// Progress is only told after a new look: an old list told again would make a task
-	// that
-	// moves look as if it stood still.
+	// that moves look as if it stood still.
 	private void act(long now) {
 		retryStops(now);
 		look(now);
@@ -443,9 +437,8 @@
 	}
 
 	// This process may live on beside a worker that is gone for good. A heartbeat that
-	// vouched
-	// for the worker would keep its runs alive in the holder's eyes for ever; without a
-	// number it only keeps the connection.
+	// vouched for the worker would keep its runs alive in the holder's eyes for ever;
+	// without a number it only keeps the connection.
 	private long nextHeartbeat(long now) {
 		if (!workerAnswers(now)) {
 			return WorkerCommand.SendHeartbeat.WORKER_SILENT;
@@ -469,10 +462,8 @@
 	}
 
 	// One look waits at a busy worker for an end; another one goes beside it when
-	// something
-	// has to be known or acknowledged at once. A worker that runs nothing answers at
-	// once,
-	// so it is looked at now and then.
+	// something has to be known or acknowledged at once. A worker that runs nothing
+	// answers at once, so it is looked at now and then.
 	private void look(long now) {
 		boolean regular = this.outstandingLook == 0 && now >= this.nextLook;
 		if (!regular && !this.lookSoon) {
--- a/core/src/test/java/org/almondmount/gang/MemberKeeperTests.java
+++ b/core/src/test/java/org/almondmount/gang/MemberKeeperTests.java
@@ -69,8 +69,8 @@
 	}
 
 	// Holder: was paused past its lease, and its successor's orders have been seen here.
-	// What the old one still sends
-	// would start a gang that the successor knows nothing of.
+	// What the old one still sends would start a gang that the successor knows nothing
+	// of.
 	@Test
 	void anOrderUnderALowerEpochIsIgnored() {
 		prepare(1, FIRST, 0);
--- a/core/src/test/java/org/almondmount/requests/RequestEndingsProperties.java
+++ b/core/src/test/java/org/almondmount/requests/RequestEndingsProperties.java
@@ -143,8 +143,8 @@
 		}
 
 		// Each end notices on its own. The target is heard again under a new connection;
-		// what the old one still brings
-		// to the target is passed on, what it brings to the entry is not.
+		// what the old one still brings to the target is passed on, what it brings to the
+		// entry is not.
 		private void breakConnection(Entry entry, Target target) {
 			entry.connection.merge(target.id, 1, Integer::sum);
 			entry.on(new RequestEvent.TargetLost(target.id));
--- a/core/src/test/java/org/almondmount/requests/RequestRouterTests.java
+++ b/core/src/test/java/org/almondmount/requests/RequestRouterTests.java
@@ -113,8 +113,8 @@
 	}
 
 	// Caller: its request may not be repeated, and the target that has it is lost. The
-	// request may be running there.
-	// So the caller hears "may have run", at once, and nothing is sent elsewhere.
+	// request may be running there. So the caller hears "may have run", at once, and
+	// nothing is sent elsewhere.
 	@Test
 	void aRequestThatMayNotBeRepeatedIsNotSentAgainWhenItsTargetIsLost() {
 		join(T1, NEAR, 8);
--- a/core/src/test/java/org/almondmount/slots/SlotGateTests.java
+++ b/core/src/test/java/org/almondmount/slots/SlotGateTests.java
@@ -30,8 +30,8 @@
 	}
 
 	// Entries: A is lent both slots, then B joins. If B were lent one at once, both would
-	// believe in a slot that
-	// there is only once. So B hears of none until A has confirmed the smaller loan.
+	// believe in a slot that there is only once. So B hears of none until A has confirmed
+	// the smaller loan.
 	@Test
 	void aSlotIsLentAnewOnlyWhenItsBorrowerHasConfirmedTheSmallerLoan() {
 		this.gate.handle(0, new SlotEvent.EntryJoined(A));
@@ -88,8 +88,8 @@
 	}
 
 	// Entry: waits for the answer of a call that runs. A copy of the call comes. "Not
-	// started" about it would have
-	// the entry send it to another target, and it would run twice.
+	// started" about it would have the entry send it to another target, and it would run
+	// twice.
 	@Test
 	void aCopyOfACallThatRanIsDroppedWithoutAWord() {
 		this.gate.handle(0, call(A, ONE));
--- a/core/src/test/java/org/almondmount/worker/WorkerKeeperTests.java
+++ b/core/src/test/java/org/almondmount/worker/WorkerKeeperTests.java
@@ -26,9 +26,8 @@
 	private long now = 10_000;
 
 	// The process has just started and heard of no holder. It looks at the worker to
-	// learn
-	// which life is there. A lease that it made up would let tasks run on that the holder
-	// believes gone, and they would run twice.
+	// learn which life is there. A lease that it made up would let tasks run on that the
+	// holder believes gone, and they would run twice.
 	@Test
 	void aTargetWithoutAGrantRenewsNoLease() {
 		feed(new WorkerEvent.Tick());
@@ -40,10 +39,9 @@
 	}
 
 	// A call that begins a run is not answered and the process is killed. The holder
-	// orders
-	// the run again; the new process knows nothing of the call, which the worker may
-	// still
-	// carry out. "Not begun" may only be said once the worker was told to stop the run.
+	// orders the run again; the new process knows nothing of the call, which the worker
+	// may still carry out. "Not begun" may only be said once the worker was told to stop
+	// the run.
 	@Test
 	void aRefusalIsToldOnlyAfterTheWorkerWasToldToStopTheRun() {
 		feed(new WorkerEvent.Tick());
@@ -59,8 +57,7 @@
 	}
 
 	// The order lay in a connection that was cut; when it arrives the lease that was
-	// granted
-	// before it has run out, and the holder has started the task elsewhere.
+	// granted before it has run out, and the holder has started the task elsewhere.
 	@Test
 	void anOrderThatArrivesAfterItsLeaseBeginsNothing() {
 		ready();
@@ -70,8 +67,7 @@
 	}
 
 	// The process has just started. A look goes out before the worker has told its name
-	// and
-	// is answered after it has. The holder's orders name the worker and have to be
+	// and is answered after it has. The holder's orders name the worker and have to be
 	// obeyed.
 	@Test
 	void aLookThatDoesNotKnowTheWorkersNameTakesNothingAway() {
@@ -100,8 +96,7 @@
 	}
 
 	// Announcements overtake each other: an older one that says "ready" comes after the
-	// one
-	// that says "draining". Nothing may be started on a worker that leaves.
+	// one that says "draining". Nothing may be started on a worker that leaves.
 	@Test
 	void aWorkerThatLeavesStaysLeavingInThisLife() {
 		ready();
--- a/daemon/src/test/java/org/almondmount/daemon/entry/RequestRoutesTests.java
+++ b/daemon/src/test/java/org/almondmount/daemon/entry/RequestRoutesTests.java
@@ -98,8 +98,7 @@
 		this.target.answering((call) -> null);
 		Map<String, String> headers = Map.of("Idempotency-Key", "k-3", "Almondmount-Deadline", "3s");
 		// Its entry may be closed before it is answered; the fault belongs to this future
-		// and
-		// not to whichever test waits for something then.
+		// and not to whichever test waits for something then.
 		CompletableFuture.supplyAsync(() -> call("bill", headers));
 		Awaitility.await().until(() -> !this.table.keys("keys/parish/k-3").isEmpty());
 		HttpResponse<String> repeat = call("bill", headers);
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
@@ -222,8 +222,7 @@
 
 	// A job that was sent to a store that does not answer can no longer be refused. So
 	// where no answer is to be expected it is not sent, and its caller hears at once that
-	// it
-	// has not run.
+	// it has not run.
 	private void write(Attempt attempt) {
 		if (!attempt.unsettled && this.patience.expectsSilence(this.loop.steadyMillis(), PROBE_MILLIS)) {
 			attempt.atOnce = true;
@@ -269,8 +268,7 @@
 	}
 
 	// The store may turn away this entry and serve another one. Both write the same row
-	// on
-	// the condition that it is not there, so it does not matter whose write is first.
+	// on the condition that it is not there, so it does not matter whose write is first.
 	private void askPeer(Attempt attempt) {
 		Optional<String> other = this.term.holder()
 			.map((row) -> row.address())
@@ -307,8 +305,7 @@
 	}
 
 	// What an earlier call left unsettled may still take effect, so a later call for the
-	// same
-	// job can't be told that it never runs.
+	// same job can't be told that it never runs.
 	private void giveUp(Attempt attempt) {
 		attempt.unsettled |= this.unsettled.contains(attempt.job.id());
 		if (attempt.unsettled) {
--- a/fleet/src/test/java/org/almondmount/fleet/StorePatienceTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/StorePatienceTests.java
@@ -9,8 +9,7 @@
 	private final StorePatience patience = new StorePatience();
 
 	// All entries were started anew at the same time. The first answer takes 200 ms, most
-	// of
-	// it in the process itself; callers were refused because it had been given up.
+	// of it in the process itself; callers were refused because it had been given up.
 	@Test
 	void aProcessThatHasJustStartedWaitsLonger() {
 		assertThat(this.patience.timeout().toMillis()).isGreaterThanOrEqualTo(500);
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SimWorker.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimWorker.java
@@ -238,8 +238,7 @@
 	}
 
 	// An end after which the lease ran out does not count: whoever ordered the run had
-	// given
-	// it up by then and may have started the task again.
+	// given it up by then and may have started the task again.
 	private void acknowledged(WorkerReport.Ended end) {
 		if (this.endedAt.getOrDefault(end.number(), 0L) > this.lapsedAt) {
 			this.checker.acknowledged(end);
--- a/processes/src/test/java/org/almondmount/processes/HolderLossTests.java
+++ b/processes/src/test/java/org/almondmount/processes/HolderLossTests.java
@@ -90,8 +90,8 @@
 	}
 
 	// A job that may not be repeated runs when the holder dies. The next holder can't
-	// know
-	// more than that it may have run; whatever its ending, it is never started twice.
+	// know more than that it may have run; whatever its ending, it is never started
+	// twice.
 	@Test
 	void aJobThatMayNotBeRepeatedIsStartedAtMostOnce() {
 		List<String> jobs = new ArrayList<>();
--- a/processes/src/test/java/org/almondmount/processes/RequestPromiseTests.java
+++ b/processes/src/test/java/org/almondmount/processes/RequestPromiseTests.java
@@ -85,8 +85,8 @@
 	}
 
 	// Caller: the target is killed while the instance works. Whether the work ends nobody
-	// can tell, so that the caller
-	// hears "may have run" and nothing is sent to another target.
+	// can tell, so that the caller hears "may have run" and nothing is sent to another
+	// target.
 	@Test
 	void aRequestWhoseTargetIsKilledMayHaveRunAndRunsOnce() {
 		CompletableFuture<Api.Reply> reply = begin(site.entry(0), sleeping(2_000), "body");
@@ -97,8 +97,8 @@
 	}
 
 	// Entry: hears nothing any more from the target, whose answer is on the way and lost.
-	// After the heartbeat timeout it
-	// gives up the connection and tells the truth it knows.
+	// After the heartbeat timeout it gives up the connection and tells the truth it
+	// knows.
 	@Test
 	void aRequestWhoseAnswerIsLostMayHaveRunAndRunsOnce() {
 		CompletableFuture<Api.Reply> reply = begin(site.entry(0), sleeping(500), "body");
@@ -132,8 +132,7 @@
 
 	// Callers: use one key through both entries at the same moment. One runs; the other
 	// gets its answer or hears that it may have run. An answer that is given again names
-	// the
-	// request that ran, so each request is counted once.
+	// the request that ran, so each request is counted once.
 	@Test
 	void theSameKeyThroughBothEntriesAtOnceRunsOnce() {
 		for (int round = 0; round < 10; round++) {
--- a/runtime/src/main/java/org/almondmount/http/impl/HttpServerConnection.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/HttpServerConnection.java
@@ -213,8 +213,8 @@
 
 	// Closing while the caller still sends makes the system reset the connection, and a
 	// reset takes the refusal away before the caller has read it. So only this side's
-	// half
-	// is closed at first; the rest follows when the caller closes, or after a moment.
+	// half is closed at first; the rest follows when the caller closes, or after a
+	// moment.
 	private void closeLater() {
 		this.channel.shutdownOutput();
 		this.channel.eventLoop().schedule(() -> this.channel.close(), LAST_READ_MILLIS, TimeUnit.MILLISECONDS);
--- a/runtime/src/main/java/org/almondmount/wire/impl/NettyPeerConnection.java
+++ b/runtime/src/main/java/org/almondmount/wire/impl/NettyPeerConnection.java
@@ -208,8 +208,8 @@
 
 	// After a pause of this process the timer comes before the bytes that have arrived
 	// meanwhile. They would make a live peer look silent, so a late timer waits once
-	// more,
-	// which gives the bytes their turn; a peer that is silent is dropped by the next one.
+	// more, which gives the bytes their turn; a peer that is silent is dropped by the
+	// next one.
 	private void lookForSilence(long due) {
 		if (!this.open) {
 			return;
