--- a/core/src/main/java/org/almondmount/workflow/ResourceAmount.java
+++ b/core/src/main/java/org/almondmount/workflow/ResourceAmount.java
@@ -42,6 +42,10 @@
 				this.accelerators - other.accelerators);
 	}
 
+	public ResourceAmount withoutCpu() {
+		return new ResourceAmount(0, this.memoryMb, this.accelerators);
+	}
+
 	/**
 	 * How often another amount goes into this one.
 	 * @param one the other amount
--- a/core/src/main/java/org/almondmount/workflow/Step.java
+++ b/core/src/main/java/org/almondmount/workflow/Step.java
@@ -28,6 +28,27 @@
 		after = List.copyOf(after);
 	}
 
+	/**
+	 * What each task takes of a worker's room. Tasks that only take processor time that
+	 * others leave take none of it away.
+	 * @return the room
+	 */
+	public ResourceAmount room() {
+		return this.service.fillsIdle() ? this.demand.withoutCpu() : this.demand;
+	}
+
+	/**
+	 * Whether the step's tasks must not stand beside those of another step. What fills
+	 * idle time slows others down by amounts that nobody knows beforehand, so it is kept
+	 * away from what has a bound on its response times.
+	 * @param other the other step
+	 * @return whether they must stay apart
+	 */
+	public boolean staysApartFrom(Step other) {
+		return this.service.fillsIdle() && other.service.latencyTargetMillis() > 0
+				|| other.service.fillsIdle() && this.service.latencyTargetMillis() > 0;
+	}
+
 	/**
 	 * Whether the step's tasks run until the job is cancelled.
 	 * @return whether they do
--- a/core/src/main/java/org/almondmount/workflow/impl/Outlook.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Outlook.java
@@ -94,7 +94,7 @@
 	}
 
 	private static long slots(Step step, ResourceAmount capacity) {
-		long slots = capacity.holds(step.demand());
+		long slots = capacity.holds(step.room());
 		int most = step.placement().mostPerWorker();
 		return (most > 0) ? Math.min(most, slots) : slots;
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -177,12 +177,12 @@
 		Rooms rooms = new Rooms();
 		this.cleared.forEach((first, placement) -> {
 			if (first != unit.first()) {
-				placement.forEach((task, worker) -> rooms.take(worker, first.step().spec().demand()));
+				placement.forEach((task, worker) -> rooms.take(worker, first.step().spec().room()));
 			}
 		});
 		for (Reservation reservation : this.reservations) {
 			if (unit.step().expectedMillis() > reservation.inMillis()) {
-				reservation.placement().values().forEach((worker) -> rooms.take(worker, reservation.unit().demand()));
+				reservation.placement().values().forEach((worker) -> rooms.take(worker, reservation.unit().room()));
 			}
 		}
 		return rooms;
--- a/core/src/main/java/org/almondmount/workflow/impl/Placer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -81,7 +81,7 @@
 		for (List<Worker> rack : racks(unit, workers)) {
 			Rooms empty = new Rooms();
 			for (Worker worker : rack) {
-				worker.runs().forEach((run) -> empty.give(worker, run.demand()));
+				worker.runs().forEach((run) -> empty.give(worker, run.room()));
 			}
 			if (fill(unit, rack, empty).isPresent()) {
 				return true;
@@ -128,7 +128,7 @@
 			if (!rooms.takes(worker, unit)) {
 				continue;
 			}
-			double cost = rooms.free(worker).minus(unit.demand()).shareOf(worker.capacity());
+			double cost = rooms.free(worker).minus(unit.room()).shareOf(worker.capacity());
 			cost += farCost(near, worker) + worker.health().doubt() * DOUBT_COST;
 			if (cost < bestCost) {
 				best = worker;
--- a/core/src/main/java/org/almondmount/workflow/impl/Preemption.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Preemption.java
@@ -70,7 +70,7 @@
 		for (Worker worker : workers) {
 			for (Run run : worker.runs()) {
 				if (run.stopping() || mayGiveWay.test(run)) {
-					rooms.give(worker, run.demand());
+					rooms.give(worker, run.room());
 				}
 			}
 		}
@@ -90,10 +90,10 @@
 		Set<Run> victims = new LinkedHashSet<>();
 		for (Worker worker : new LinkedHashSet<>(placement.values())) {
 			long here = placement.values().stream().filter(worker::equals).count();
-			ResourceAmount wanted = unit.demand().times(here);
+			ResourceAmount wanted = unit.room().times(here);
 			ResourceAmount room = rooms.free(worker);
 			for (Run run : worker.runs()) {
-				room = (run.stopping() || victims.contains(run)) ? room.plus(run.demand()) : room;
+				room = (run.stopping() || victims.contains(run)) ? room.plus(run.room()) : room;
 			}
 			List<Run> candidates = new ArrayList<>(
 					worker.runs().stream().filter((run) -> !run.stopping()).filter(mayGiveWay).toList());
@@ -103,7 +103,7 @@
 					break;
 				}
 				if (victims.add(run)) {
-					room = room.plus(run.demand());
+					room = room.plus(run.room());
 				}
 			}
 		}
@@ -135,7 +135,7 @@
 			seconds = Math.min(seconds, CHECKPOINTED_SECONDS);
 		}
 		int members = step.spec().gang() ? step.tasks().size() : 1;
-		return (seconds + 1) * run.demand().coreEquivalents() * members;
+		return (seconds + 1) * run.room().coreEquivalents() * members;
 	}
 
 	/**
--- a/core/src/main/java/org/almondmount/workflow/impl/Reservation.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Reservation.java
@@ -50,7 +50,7 @@
 		byEnd.sort(Comparator.comparingLong((run) -> left(now, run)));
 		Rooms ended = new Rooms();
 		for (Run run : byEnd) {
-			ended.give(run.worker(), run.demand());
+			ended.give(run.worker(), run.room());
 			Optional<Map<TaskState, Worker>> placement = Placer.fillInOrder(unit, workers, copy(ended, workers));
 			if (placement.isPresent()) {
 				return Optional.of(new Reservation(unit, new LinkedHashMap<>(placement.get()), left(now, run)));
--- a/core/src/main/java/org/almondmount/workflow/impl/Rooms.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Rooms.java
@@ -33,7 +33,7 @@
 	 * @return whether the task fits and the bound of tasks on one worker holds
 	 */
 	boolean takes(Worker worker, WorkUnit unit) {
-		if (!unit.demand().fitsIn(free(worker))) {
+		if (!unit.room().fitsIn(free(worker)) || hasToStayApart(worker, unit)) {
 			return false;
 		}
 		int most = unit.step().spec().placement().mostPerWorker();
@@ -41,10 +41,19 @@
 	}
 
 	void place(Worker worker, WorkUnit unit) {
-		take(worker, unit.demand());
+		take(worker, unit.room());
 		this.placed.merge(worker, 1, Integer::sum);
 	}
 
+	private static boolean hasToStayApart(Worker worker, WorkUnit unit) {
+		for (Run run : worker.runs()) {
+			if (unit.step().spec().staysApartFrom(run.task().step().spec())) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private static int alreadyThere(Worker worker, WorkUnit unit) {
 		int there = 0;
 		for (Run run : worker.runs()) {
--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -74,8 +74,8 @@
 		later.add(this);
 	}
 
-	ResourceAmount demand() {
-		return this.task.step().spec().demand();
+	ResourceAmount room() {
+		return this.task.step().spec().room();
 	}
 
 	State state() {
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkUnit.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkUnit.java
@@ -31,8 +31,8 @@
 		return this.step.spec().gang();
 	}
 
-	ResourceAmount demand() {
-		return this.step.spec().demand();
+	ResourceAmount room() {
+		return this.step.spec().room();
 	}
 
 	/**
--- a/core/src/main/java/org/almondmount/workflow/impl/Worker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Worker.java
@@ -95,13 +95,13 @@
 
 	void add(Run run) {
 		if (this.runs.add(run)) {
-			this.used = this.used.plus(run.demand());
+			this.used = this.used.plus(run.room());
 		}
 	}
 
 	void remove(Run run) {
 		if (this.runs.remove(run)) {
-			this.used = this.used.minus(run.demand());
+			this.used = this.used.minus(run.room());
 		}
 	}
 
--- a/core/src/test/java/org/almondmount/workflow/SchedulerFixture.java
+++ b/core/src/test/java/org/almondmount/workflow/SchedulerFixture.java
@@ -48,6 +48,12 @@
 				new WorkerReport("t" + worker, description(worker, 1, draining), 1, List.of(), List.of())));
 	}
 
+	void report(int worker, String... labels) {
+		WorkerDescription said = new WorkerDescription(new WorkerLife("w" + worker, 1), "pool", "z", Set.of(labels),
+				CAPACITY, false, 0);
+		feed(new WorkflowEvent.WorkerReported(new WorkerReport("t" + worker, said, 1, List.of(), List.of())));
+	}
+
 	static WorkerDescription description(int worker, long born, boolean draining) {
 		return new WorkerDescription(new WorkerLife("w" + worker, born), "pool", "z", Set.of("r1-1"), CAPACITY,
 				draining, 0);
