--- a/daemon/src/main/java/org/almondmount/daemon/cli/Almondmount.java
+++ b/daemon/src/main/java/org/almondmount/daemon/cli/Almondmount.java
@@ -36,7 +36,8 @@
 			@SubCommand(name = "history", impl = ListCommand.History.class),
 			@SubCommand(name = "plan", impl = PlanCommand.class),
 			@SubCommand(name = "confirm", impl = ConfirmCommand.class),
-			@SubCommand(name = "explain", impl = ExplainCommand.class) })
+			@SubCommand(name = "explain", impl = ExplainCommand.class),
+			@SubCommand(name = "trace", impl = TraceCommand.class) })
 	private Command command;
 
 	private Almondmount() {
--- a/daemon/src/main/java/org/almondmount/daemon/cli/Overview.java
+++ b/daemon/src/main/java/org/almondmount/daemon/cli/Overview.java
@@ -18,7 +18,8 @@
 					"plan customer FILE           create or change a customer with its guarantees",
 					"plan remove-customer NAME", "plan set NAME VALUE          change a setting of the configuration",
 					"confirm PLAN                 make a plan so",
-					"explain ID                   why a job waits or a request was refused" } };
+					"explain ID                   why a job waits or a request was refused",
+					"trace ID LOG...              what became of a job, and why, from log files" } };
 
 	private Overview() {
 	}
