A restarted target asks for a lease as soon as its worker answers; no job is sent to find out whether the store answers

A target's first heartbeat left before its worker had answered, so nothing was granted, and the next one was due 0.5 s or more later, while the holder already knew the worker by its report. Change: the first answer of a worker makes a heartbeat due; a silent store is asked with a read until it answers.

--- a/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
@@ -332,6 +332,12 @@
 			return;
 		}
 		begin(looked.life());
+		// A lease is granted only for a worker that answers. After a restart the first
+		// heartbeat leaves before the first answer, and every order would be refused for
+		// want of a lease until the next one is due.
+		if (!workerAnswers(now)) {
+			this.nextHeartbeat = Long.MIN_VALUE;
+		}
 		this.workerAnsweredAt = now;
 		this.failedLooks = 0;
 		if (this.leftAt != Long.MIN_VALUE && now - this.leftAt > LEAVING_MILLIS) {
--- a/core/src/test/java/org/almondmount/worker/WorkerKeeperTests.java
+++ b/core/src/test/java/org/almondmount/worker/WorkerKeeperTests.java
@@ -38,6 +38,19 @@
 			.allMatch((look) -> ((WorkerCommand.Look) look).leaseUntilMillis() == 0);
 	}
 
+	// The process was restarted and finds the holder before its worker has answered. The
+	// holder grants nothing for a worker that was not heard, and refused every order
+	// until
+	// the next heartbeat was due.
+	@Test
+	void aRestartedTargetAsksForALeaseAsSoonAsItsWorkerAnswers() {
+		feed(new WorkerEvent.HolderFound(1));
+		assertThat(heartbeats()).containsOnly(WorkerCommand.SendHeartbeat.WORKER_SILENT);
+		feed(new WorkerEvent.Described(description(false)));
+		answerLooks();
+		assertThat(heartbeats()).last().isNotEqualTo(WorkerCommand.SendHeartbeat.WORKER_SILENT);
+	}
+
 	// A call that begins a run is not answered and the process is killed. The holder
 	// orders the run again; the new process knows nothing of the call, which the worker
 	// may still carry out. "Not begun" may only be said once the worker was told to stop
@@ -120,6 +133,13 @@
 				draining, 0);
 	}
 
+	private List<Long> heartbeats() {
+		return this.commands.stream()
+			.filter(WorkerCommand.SendHeartbeat.class::isInstance)
+			.map((heartbeat) -> ((WorkerCommand.SendHeartbeat) heartbeat).heartbeat())
+			.toList();
+	}
+
 	private void answerLooks() {
 		for (WorkerCommand command : List.copyOf(this.commands)) {
 			if (command instanceof WorkerCommand.Look look) {
--- a/fleet/src/main/java/org/almondmount/fleet/StorePatience.java
+++ b/fleet/src/main/java/org/almondmount/fleet/StorePatience.java
@@ -39,8 +39,6 @@
 
 	private boolean answering = true;
 
-	private long lastSilence;
-
 	/**
 	 * How long an answer is of any use.
 	 * @return the longest that {@link #timeout()} becomes
@@ -68,24 +66,18 @@
 		this.answering = true;
 	}
 
-	/**
-	 * No answer came.
-	 * @param now the steady clock
-	 */
-	public void silent(long now) {
+	/** No answer came. */
+	public void silent() {
 		this.silences = Math.min(MOST_DOUBLINGS, this.silences + 1);
 		this.answering = false;
-		this.lastSilence = now;
 	}
 
 	/**
 	 * Whether a call would probably not be answered: the last one was not.
-	 * @param now the steady clock
-	 * @param probeEveryMillis after which time one call is let through again
 	 * @return whether calls had better not be sent
 	 */
-	public boolean expectsSilence(long now, long probeEveryMillis) {
-		return !this.answering && now - this.lastSilence < probeEveryMillis;
+	public boolean expectsSilence() {
+		return !this.answering;
 	}
 
 }
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
@@ -70,12 +70,8 @@
 	/** A cancel waits for a commit of the holder. */
 	private static final long CANCEL_MILLIS = 1_500;
 
-	/**
-	 * A store that did not answer is tried again with a job after so long, in
-	 * milliseconds. While the holder is away too, looks at the term find out earlier that
-	 * it answers.
-	 */
-	private static final long PROBE_MILLIS = 3_000;
+	/** Pause between two questions to a store that does not answer, in milliseconds. */
+	private static final long PROBE_PAUSE_MILLIS = 150;
 
 	/**
 	 * Unsettled jobs that are remembered: more than callers leave within a status's time.
@@ -101,6 +97,8 @@
 
 	private final Map<String, Count> counts = new HashMap<>();
 
+	private boolean probing;
+
 	/** Jobs of which nobody can tell whether they were accepted, the oldest first. */
 	private final Set<String> unsettled = new LinkedHashSet<>();
 
@@ -224,8 +222,9 @@
 	// where no answer is to be expected it is not sent, and its caller hears at once that
 	// it has not run.
 	private void write(Attempt attempt) {
-		if (!attempt.unsettled && this.patience.expectsSilence(this.loop.steadyMillis(), PROBE_MILLIS)) {
+		if (!attempt.unsettled && this.patience.expectsSilence()) {
 			attempt.atOnce = true;
+			probe();
 			written(attempt, new RowStore.Commit.Refused("the store did not answer the last call"));
 			return;
 		}
@@ -238,9 +237,31 @@
 				});
 	}
 
+	// Whether the store answers again is found out with a read. A job that is sent for
+	// that
+	// can't be refused any more, and its caller may not be allowed to hand it in again.
+	private void probe() {
+		if (this.probing) {
+			return;
+		}
+		this.probing = true;
+		long sentAt = this.loop.steadyMillis();
+		this.loop.then(this.store.read(Tables.TERM.table(), Tables.TERM.key(), 1, this.patience.timeout()), (read) -> {
+			this.probing = false;
+			if (read instanceof RowStore.Read.Found) {
+				this.patience.answered(this.loop.steadyMillis() - sentAt);
+			}
+			else if (this.patience.expectsSilence()) {
+				this.patience.silent();
+				this.loop.after(PROBE_PAUSE_MILLIS, this::probe);
+			}
+		});
+	}
+
 	private void learn(long sentAt, RowStore.Commit ending) {
 		if (ending instanceof RowStore.Commit.Unanswered) {
-			this.patience.silent(this.loop.steadyMillis());
+			this.patience.silent();
+			probe();
 		}
 		else if (!(ending instanceof RowStore.Commit.Refused)) {
 			this.patience.answered(this.loop.steadyMillis() - sentAt);
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
@@ -169,7 +169,7 @@
 
 	private void looked(long sentAt, RowStore.Read read) {
 		if (!(read instanceof RowStore.Read.Found found)) {
-			this.patience.silent(this.loop.steadyMillis());
+			this.patience.silent();
 			storeSilent(read.toString());
 			feed(new TermEvent.ReadFailed());
 			return;
@@ -204,7 +204,7 @@
 	}
 
 	private void unanswered(CommitCall call, String why) {
-		this.patience.silent(this.loop.steadyMillis());
+		this.patience.silent();
 		storeSilent(why + " after " + (this.loop.steadyMillis() - call.sentAt) + " ms");
 		feed(new TermEvent.Unanswered(call.number));
 	}
--- a/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 
 import org.almondmount.fleet.DeclarationReader;
 import org.almondmount.fleet.FleetSettings;
@@ -275,6 +276,10 @@
 			this.entry.start();
 		}
 
+		CompletableFuture<Submission> submit(Workflow job) {
+			return this.entry.submit(job, 2_500);
+		}
+
 		FleetConfiguration configuration() {
 			return this.entry.configuration();
 		}
