--- /dev/null
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/EntryCalls.java
@@ -0,0 +1,64 @@
+package org.almondmount.fleet.entry;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.almondmount.wire.Message;
+
+/**
+ * Calls between entries: what they are named, how they are answered, and the way to the
+ * holder. Belongs to the loop's thread.
+ */
+final class EntryCalls {
+
+	/** Tells the holder of a job that another entry accepted. */
+	static final String ACCEPTED = "accepted";
+
+	/** Asks another entry to accept a job. */
+	static final String SUBMIT = "submit";
+
+	/** Asks the holder where a job stands. */
+	static final String PHASE = "phase";
+
+	/** Asks the holder to cancel a job. */
+	static final String CANCEL = "cancel";
+
+	/** Asks the holder how many jobs of a queue wait. */
+	static final String WAITING = "waiting";
+
+	static final int OK = 200;
+
+	static final int UNKNOWN_JOB = 404;
+
+	static final int UNAVAILABLE = 503;
+
+	static final int UNSETTLED = 504;
+
+	/** Time for the holder to answer from memory before the store is asked. */
+	static final long HOLDER_MILLIS = 500;
+
+	private final TermDriver term;
+
+	private final PeerLinks peers;
+
+	EntryCalls(TermDriver term, PeerLinks peers) {
+		this.term = term;
+		this.peers = peers;
+	}
+
+	/**
+	 * Asks the holder of the term.
+	 * @param method what is asked
+	 * @param subject what it is about
+	 * @param body more of it
+	 * @param withinMillis how long an answer is waited for
+	 * @return the answer, or empty where there was none in time
+	 */
+	CompletableFuture<Optional<Message.ForwardAnswer>> askHolder(String method, String subject, byte[] body,
+			long withinMillis) {
+		return this.term.holder()
+			.map((row) -> this.peers.call(row.address(), method, subject, body, withinMillis))
+			.orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
+	}
+
+}
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -84,6 +84,8 @@
 
 	private final HolderDesk holder;
 
+	private final JobIntake intake;
+
 	private final FrontDesk desk;
 
 	private final DeclaredState declared;
@@ -123,7 +125,10 @@
 					.withStopMillis(settings.stop().toMillis())
 					.withStatusMillis(settings.status().toMillis())),
 				store, this.loop, telemetry, this.term, this.targets, settings.lease().toMillis());
-		this.desk = new FrontDesk(store, this.loop, this.patience, telemetry, this.holder, this.term, this.peers);
+		EntryCalls calls = new EntryCalls(this.term, this.peers);
+		this.intake = new JobIntake(store, this.loop, this.patience, telemetry, this.holder, this.term, this.peers,
+				calls);
+		this.desk = new FrontDesk(store, this.loop, this.patience, this.holder, calls, this.intake);
 		this.declared = new DeclaredState(store, reader, this.loop, this::inForce);
 		telemetry.gauge("term.epoch", this.term::epoch);
 	}
@@ -159,7 +164,7 @@
 	 */
 	public CompletableFuture<Submission> submit(Workflow job, long withinMillis) {
 		CompletableFuture<Submission> outcome = new CompletableFuture<>();
-		boolean taken = this.loop.run(() -> this.desk.submit(job, withinMillis, true).thenAccept(outcome::complete));
+		boolean taken = this.loop.run(() -> this.intake.submit(job, withinMillis, true).thenAccept(outcome::complete));
 		if (!taken) {
 			outcome.complete(Submission.REFUSED);
 		}
