The progress of the largest job fits into a row, and larger jobs are refused at once

Cause: found by reading the capacity page: progress is one row of at most 64 KB, about 640 tasks that run. A larger one would be refused by the store at each commit, and with it everything that any other job had to keep: one job could stop an installation. A body could also ask for any number of tasks.

--- a/core/src/main/java/org/almondmount/workflow/Workflow.java
+++ b/core/src/main/java/org/almondmount/workflow/Workflow.java
@@ -18,6 +18,12 @@
 public record Workflow(String id, String queue, String customer, String program, List<Step> steps, Schedule schedule,
 		long acceptedAtMillis) {
 
+	/**
+	 * Tasks of one job, over all occurrences. Its progress is kept as one row of 64 KB,
+	 * which a job of so many tasks fills, compressed, to about nine tenths.
+	 */
+	public static final int MOST_TASKS = 2_500;
+
 	public Workflow {
 		steps = List.copyOf(steps);
 		if (steps.isEmpty()) {
@@ -26,6 +32,11 @@
 		for (int number = 0; number < steps.size(); number++) {
 			requireEarlier(number, steps.get(number).after());
 		}
+		long tasks = steps.stream().mapToLong(Step::count).sum() * schedule.occurrences();
+		if (tasks > MOST_TASKS) {
+			throw new InvalidValueException("steps",
+					"have " + tasks + " tasks over all occurrences; give at most " + MOST_TASKS + " and several jobs");
+		}
 	}
 
 	private static void requireEarlier(int number, List<Integer> after) {
--- a/core/src/test/java/org/almondmount/workflow/WorkflowTests.java
+++ b/core/src/test/java/org/almondmount/workflow/WorkflowTests.java
@@ -19,6 +19,16 @@
 			.hasMessageContaining("steps.0.after");
 	}
 
+	// One job with a million tasks would fill the memory of every entry that reads it.
+	@Test
+	void aJobWithMoreTasksThanCanBeKeptIsRefused() {
+		Step step = new Step(1_000, ResourceAmount.NONE, 1_000, List.of(), false, false, Step.Placement.ANYWHERE, false,
+				Step.ServiceTerms.NONE);
+		assertThatThrownBy(() -> new Workflow("a", "q", "c", "p", List.of(step), new Workflow.Schedule(0, 1, 4), 0))
+			.isInstanceOf(InvalidValueException.class)
+			.hasMessageContaining("at most 2500");
+	}
+
 	private static Step after(int step) {
 		return new Step(1, ResourceAmount.NONE, 1_000, List.of(step), false, false, Step.Placement.ANYWHERE, false,
 				Step.ServiceTerms.NONE);
