A member that is done and waits for its gang no longer counts as standing still

Members end together, so who is done early stays at 100 percent; three seconds of that stopped the whole gang after 15 s of work, and it began anew. Ruled out: workers that hang (the percentages of the other members moved), preemption (5 plans with 31 victims of 220 stops). Change: a run at 100 percent does not stand still. Tests: WorkflowSchedulerTests.aMemberThatIsDoneAndWaitsForTheOthersDoesNotStandStill fails on the former code; aMemberThatMovesNoMoreStopsItsGang holds before and after.

--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -128,6 +128,14 @@
 		return this.seenMillis - this.progressedMillis;
 	}
 
+	/**
+	 * Whether its own work is done, though it has not ended.
+	 * @return whether it is
+	 */
+	boolean atItsEnd() {
+		return this.percent >= WHOLE;
+	}
+
 	/**
 	 * The time that is left at the speed so far.
 	 * @param now the steady clock
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
@@ -128,11 +128,13 @@
 	}
 
 	// A worker on which tasks stand still looks busy and healthy. A task that moves takes
-	// a tenth of a second for a percent; one that was seen at the same percentage for
+	// a
+	// tenth of a second for a percent; one that was seen at the same percentage for
 	// seconds is better begun elsewhere. A gang stands still as long as a member is
-	// missing.
+	// missing, and a member that has done its part waits at its end for the slowest one:
+	// stopping it would throw the work of all of them away.
 	private void leaveStandstill(long now, Run run) {
-		boolean still = run.running() && !run.stopping() && run.stillMillis() >= STANDSTILL_MILLIS;
+		boolean still = run.running() && !run.stopping() && !run.atItsEnd() && run.stillMillis() >= STANDSTILL_MILLIS;
 		if (!still || run.task().step().spec().lasting() || !wholeGangRuns(run)) {
 			return;
 		}
--- a/core/src/test/java/org/almondmount/workflow/SchedulerFixture.java
+++ b/core/src/test/java/org/almondmount/workflow/SchedulerFixture.java
@@ -65,6 +65,20 @@
 				List.of(new WorkerReport.Running(start.task(), start.run(), "", 10)), List.of())));
 	}
 
+	/**
+	 * Lets half a second pass, after which the first worker tells how far two runs are.
+	 */
+	List<WorkflowCommand> progress(List<WorkflowCommand.StartRun> starts, int first, int second) {
+		this.now += 500;
+		List<WorkerReport.Running> running = List.of(
+				new WorkerReport.Running(starts.get(0).task(), starts.get(0).run(), "", first),
+				new WorkerReport.Running(starts.get(1).task(), starts.get(1).run(), "", second));
+		List<WorkflowCommand> commands = new ArrayList<>(feed(new WorkflowEvent.WorkerReported(
+				new WorkerReport("t0", description(0, 1, false), 1, running, List.of()))));
+		commands.addAll(feed(new WorkflowEvent.Tick()));
+		return commands;
+	}
+
 	List<WorkflowCommand> end(WorkflowCommand.StartRun start, RunEnding how) {
 		int worker = Integer.parseInt(start.target().substring(1));
 		return feed(new WorkflowEvent.WorkerReported(new WorkerReport(start.target(), description(worker, 1, false), 1,
--- a/core/src/test/java/org/almondmount/workflow/WorkflowSchedulerTests.java
+++ b/core/src/test/java/org/almondmount/workflow/WorkflowSchedulerTests.java
@@ -156,6 +156,30 @@
 		assertThat(startsOf(job("small", 2, step(1, 1)))).isEmpty();
 	}
 
+	// Members of a gang end together. One that is done early waits at a hundred percent
+	// for
+	// the slowest; taken for a standstill, the whole gang was stopped shortly before its
+	// end and began anew, again and again.
+	@Test
+	void aMemberThatIsDoneAndWaitsForTheOthersDoesNotStandStill() {
+		begin(1);
+		List<WorkflowCommand.StartRun> gang = startsOf(job("a", 2, gang(2, 2)));
+		for (int percent = 10; percent <= 90; percent += 10) {
+			assertThat(progress(gang, 100, percent)).noneMatch(WorkflowCommand.StopRun.class::isInstance);
+		}
+	}
+
+	@Test
+	void aMemberThatMovesNoMoreStopsItsGang() {
+		begin(1);
+		List<WorkflowCommand.StartRun> gang = startsOf(job("a", 2, gang(2, 2)));
+		List<WorkflowCommand> all = new ArrayList<>();
+		for (int percent = 10; percent <= 90; percent += 10) {
+			all.addAll(progress(gang, 40, percent));
+		}
+		assertThat(all).anyMatch(WorkflowCommand.StopRun.class::isInstance);
+	}
+
 	@Test
 	void aCancelIsToldOnceItIsKeptAndStopsWhatRuns() {
 		begin(1);
