Progress of a job that can't be read here is not removed as an orphan

After a change of versions that would have removed the progress of accepted jobs, and what was done would have been done again. Test: EndedJobsTests.progressOfAJobThatCannotBeReadStays fails on the former code.

--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -245,8 +245,8 @@
 
 	// A job counts as accepted while its row of the intake is there, so that goes first.
 	// A
-	// holder that is lost in between leaves progress of a job that is not known any more;
-	// the next one removes it when it loads.
+	// holder that is lost in between leaves progress without such a row; the next one
+	// removes it when it loads.
 	private void forget(List<String> jobs) {
 		List<Write> rows = new ArrayList<>();
 		for (String job : jobs) {
@@ -309,9 +309,14 @@
 		LOG.info("term-loaded", "epoch", epoch, "jobs", kept.size(), "cancelled", cancelled.size());
 		this.cancelRows.clear();
 		this.cancelRows.addAll(cancelled);
+		// A job that can't be read here may be read by another version: its progress has
+		// to
+		// stay, or what is done would be done again.
+		Set<String> accepted = new HashSet<>();
+		intake.forEach((row) -> accepted.add(Tables.jobOf(row.place())));
 		List<String> orphans = records.keySet()
 			.stream()
-			.filter((job) -> !jobs.containsKey(job))
+			.filter((job) -> !accepted.contains(job))
 			.limit(MOST_ORPHANS)
 			.toList();
 		if (!orphans.isEmpty()) {
--- a/fleet/src/test/java/org/almondmount/fleet/sim/EndedJobsTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/EndedJobsTests.java
@@ -46,6 +46,16 @@
 		assertThat(this.world.store().rowsOf(Tables.PROGRESS)).isZero();
 	}
 
+	// Another version wrote the job in a way that this one can't read. Were its progress
+	// removed, that version would begin anew what is done.
+	@Test
+	void progressOfAJobThatCannotBeReadStays() {
+		this.world.store().put(Tables.INTAKE, "job/" + JOB, "{\"steps\":[]}");
+		this.world.store().put(Tables.PROGRESS, JOB, "{\"job\":\"" + JOB + "\",\"phase\":\"RUNNING\"}");
+		this.world.runFor(5_000);
+		assertThat(this.world.store().rowsOf(Tables.PROGRESS)).isOne();
+	}
+
 	private void runAJob() {
 		this.world.runFor(3_000);
 		Step step = new Step(1, new ResourceAmount(1_000, 1_000, 1), 1_000, List.of(), false, false,
