--- a/core/src/main/java/org/almondmount/workflow/impl/JobState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/JobState.java
@@ -120,7 +120,7 @@
 	double remainingCoreSeconds() {
 		double sum = 0;
 		for (StepState step : this.steps.values()) {
-			sum += Outlook.coreSeconds(step, step.tasks().stream().filter((task) -> !task.done()).count());
+			sum += Outlook.coreSeconds(step, step.undone());
 		}
 		return sum;
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/Outlook.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Outlook.java
@@ -47,7 +47,9 @@
 		if (step.spec().lasting()) {
 			return new Outlook(Timeliness.IN_TIME, latest, remaining);
 		}
-		return new Outlook(timeliness(wallMillis, queue, step, dueMillis, eligible), latest, remaining);
+		boolean inTime = wallMillis <= latest && fitsInTime(latest - wallMillis, step, eligible);
+		Timeliness timeliness = inTime ? Timeliness.IN_TIME : behindTime(wallMillis, queue, step, dueMillis);
+		return new Outlook(timeliness, latest, remaining);
 	}
 
 	/**
@@ -63,12 +65,7 @@
 		return dueMillis + (long) (objectives * objective) - step.tailMillis();
 	}
 
-	private static Timeliness timeliness(long now, JobQueue queue, StepState step, long dueMillis,
-			List<Worker> eligible) {
-		long latest = latestStart(queue, step, dueMillis, 1);
-		if (now <= latest && fitsInTime(latest - now, step, eligible)) {
-			return Timeliness.IN_TIME;
-		}
+	private static Timeliness behindTime(long now, JobQueue queue, StepState step, long dueMillis) {
 		if (now <= latestStart(queue, step, dueMillis, OBJECTIVES_OF_USE)) {
 			return Timeliness.LATE;
 		}
@@ -81,8 +78,7 @@
 	private static boolean fitsInTime(long slackMillis, StepState step, List<Worker> eligible) {
 		long expected = Math.max(1, step.expectedMillis());
 		long waves = 1 + slackMillis / expected;
-		long needed = step.tasks().stream().filter((task) -> !task.done()).count();
-		return needed <= waves * slots(step.spec(), eligible);
+		return step.undone() <= waves * slots(step.spec(), eligible);
 	}
 
 	private static long slots(Step step, List<Worker> eligible) {
--- a/core/src/main/java/org/almondmount/workflow/impl/StepState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/StepState.java
@@ -37,7 +37,6 @@
 		this.job = job;
 		this.key = key;
 		this.spec = spec;
-		this.expectedMillis = spec.estimateMillis();
 		this.tasks = new ArrayList<>(spec.count());
 		for (int index = 0; index < spec.count(); index++) {
 			this.tasks.add(new TaskState(this, index));
@@ -164,6 +163,14 @@
 		this.tailMillis = this.expectedMillis + followersMillis;
 	}
 
+	/**
+	 * How many of its tasks are not done.
+	 * @return a count
+	 */
+	long undone() {
+		return this.tasks.stream().filter((task) -> !task.done()).count();
+	}
+
 	boolean anyIdle() {
 		return this.tasks.stream().anyMatch((task) -> task.idle() && !task.done());
 	}
--- a/fleet/src/test/java/org/almondmount/fleet/sim/EndedJobsTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/EndedJobsTests.java
@@ -1,12 +1,7 @@
 package org.almondmount.fleet.sim;
 
-import java.util.List;
-
 import org.almondmount.fleet.Tables;
 import org.almondmount.workflow.JobPhase;
-import org.almondmount.workflow.ResourceAmount;
-import org.almondmount.workflow.Step;
-import org.almondmount.workflow.Workflow;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -58,11 +53,7 @@
 
 	private void runAJob() {
 		this.world.runFor(3_000);
-		Step step = new Step(1, new ResourceAmount(1_000, 1_000, 1), 1_000, List.of(), false, false,
-				Step.Placement.ANYWHERE, false, Step.ServiceTerms.NONE);
-		this.world.submit(
-				new Workflow(JOB, "q1", "one", "p", List.of(step), Workflow.Schedule.ONCE, this.world.time().now()),
-				500, false);
+		this.world.submit(this.world.smallJob(JOB), 500, false);
 		this.world.runFor(5_000);
 	}
 
--- a/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
@@ -25,6 +25,7 @@
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.JobQueue;
 import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.Step;
 import org.almondmount.workflow.Workflow;
 
 /**
@@ -125,6 +126,17 @@
 		this.time.runUntil(this.time.now() + millis);
 	}
 
+	/**
+	 * A job of one small task that is handed in now.
+	 * @param id its identifier
+	 * @return the job
+	 */
+	Workflow smallJob(String id) {
+		Step step = new Step(1, new ResourceAmount(1_000, 1_000, 1), 1_000, List.of(), false, false,
+				Step.Placement.ANYWHERE, false, Step.ServiceTerms.NONE);
+		return new Workflow(id, "q1", "one", "p", List.of(step), Workflow.Schedule.ONCE, this.time.now());
+	}
+
 	void submit(Workflow job, long runMillis, boolean fails) {
 		this.checker.submit(job, runMillis, fails);
 		hand(job, 0);
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SilentStoreTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SilentStoreTests.java
@@ -1,11 +1,8 @@
 package org.almondmount.fleet.sim;
 
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 import org.almondmount.fleet.Submission;
-import org.almondmount.workflow.ResourceAmount;
-import org.almondmount.workflow.Step;
 import org.almondmount.workflow.Workflow;
 import org.junit.jupiter.api.Test;
 
@@ -47,10 +44,7 @@
 	}
 
 	private CompletableFuture<Submission> submit(String id) {
-		Step step = new Step(1, new ResourceAmount(1_000, 1_000, 1), 1_000, List.of(), false, false,
-				Step.Placement.ANYWHERE, false, Step.ServiceTerms.NONE);
-		Workflow job = new Workflow(id, "q1", "one", "p", List.of(step), Workflow.Schedule.ONCE,
-				this.world.time().now());
+		Workflow job = this.world.smallJob(id);
 		this.world.checker().submit(job, 500, false);
 		return this.world.entries().get(0).submit(job);
 	}
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SlowStoreTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SlowStoreTests.java
@@ -1,10 +1,6 @@
 package org.almondmount.fleet.sim;
 
-import java.util.List;
-
 import org.almondmount.workflow.JobPhase;
-import org.almondmount.workflow.ResourceAmount;
-import org.almondmount.workflow.Step;
 import org.almondmount.workflow.Workflow;
 import org.junit.jupiter.api.Test;
 
@@ -25,8 +21,7 @@
 		world.runFor(3_000);
 		world.store().slow(TIMES);
 		world.runFor(1_000);
-		Workflow job = new Workflow("00000000000000aa", "q1", "one", "p", List.of(step()), Workflow.Schedule.ONCE,
-				world.time().now());
+		Workflow job = world.smallJob("00000000000000aa");
 		world.submit(job, 500, false);
 		world.runFor(6_500);
 		world.ask(job.id());
@@ -35,9 +30,4 @@
 		assertThat(world.seen()).containsEntry(job.id(), JobPhase.COMPLETED);
 	}
 
-	private static Step step() {
-		return new Step(1, new ResourceAmount(1_000, 1_000, 1), 1_000, List.of(), false, false, Step.Placement.ANYWHERE,
-				false, Step.ServiceTerms.NONE);
-	}
-
 }
