A ledger of work: each run's core-seconds end as kept, or as lost for a typed cause

Change: WorkOutcome names the causes, RunWork accounts for a run when it is closed, HolderDesk counts work.* on the metrics address, run-ended lines carry the figures and trace adds them up. Decisions are unchanged.

--- a/core/src/main/java/org/almondmount/workflow/WorkflowCommand.java
+++ b/core/src/main/java/org/almondmount/workflow/WorkflowCommand.java
@@ -34,6 +34,15 @@
 	record Forget(List<String> jobs) implements WorkflowCommand {
 	}
 
+	/**
+	 * Count work of a run that is over.
+	 *
+	 * @param outcome what became of it
+	 * @param coreSeconds how much it was
+	 */
+	record AccountWork(WorkOutcome outcome, double coreSeconds) implements WorkflowCommand {
+	}
+
 	/** The cancelling of a job is kept. */
 	record CancelKept(String job) implements WorkflowCommand {
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -8,6 +8,7 @@
 import org.almondmount.workflow.JobRecord.OpenRun;
 import org.almondmount.workflow.JobRecord.TaskRecord;
 import org.almondmount.workflow.SchedulerPolicy;
+import org.almondmount.workflow.WorkOutcome;
 import org.almondmount.workflow.Workflow;
 import org.almondmount.workflow.WorkflowCommand;
 import org.almondmount.workflow.WorkflowEvent;
@@ -137,7 +138,7 @@
 		if (!job.over()) {
 			job.phase(JobPhase.CANCELLED);
 			this.state.writeAhead().changed(job);
-			job.openRuns().forEach(this.ledger::stop);
+			job.openRuns().forEach((run) -> this.ledger.stop(run, WorkOutcome.CANCELLED));
 			this.state.explain("job-cancelled", "job", id, "openRuns", job.openRuns().size());
 		}
 		this.state.writeAhead().afterKept(() -> this.state.emit(new WorkflowCommand.CancelKept(id)));
--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 
 import org.almondmount.workflow.JobQueue;
+import org.almondmount.workflow.WorkOutcome;
 
 /**
  * Decides what starts now, where, and what gives way to it. Owned by the scheduler.
@@ -148,7 +149,7 @@
 		}
 		this.state.explain("runs-give-way", "job", unit.step().job().id(), "step", unit.step().number(), "guaranteed",
 				unit.guaranteed(), "victims", plan.victims().size(), "coreSeconds", Math.round(plan.cost()));
-		plan.victims().forEach(this.ledger::stop);
+		plan.victims().forEach((run) -> this.ledger.stop(run, WorkOutcome.GAVE_WAY));
 	}
 
 	// Where urgent work of other customers took all room beyond their own guarantees.
--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -1,7 +1,10 @@
 package org.almondmount.workflow.impl;
 
+import java.util.Optional;
+
 import org.almondmount.workflow.JobRecord.OpenRun;
 import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.WorkOutcome;
 
 /**
  * One run of a task that may be at work. Mutable; owned by the scheduler.
@@ -10,6 +13,8 @@
 
 	private static final int WHOLE = 100;
 
+	private static final long NOT_YET = Long.MIN_VALUE;
+
 	private final TaskState task;
 
 	private final int number;
@@ -38,6 +43,16 @@
 
 	private int percent;
 
+	/** Since when it works: a member of a gang begins once all are there. */
+	private long atWorkMillis = NOT_YET;
+
+	/** When its last checkpoint was heard of. */
+	private long savedAtMillis = NOT_YET;
+
+	private String saved;
+
+	private Optional<WorkOutcome> loss = Optional.empty();
+
 	Run(TaskState task, int number, Worker worker, long epoch, State state) {
 		this.task = task;
 		this.number = number;
@@ -45,6 +60,7 @@
 		this.epoch = epoch;
 		this.state = state;
 		this.resumed = !task.checkpoint().isEmpty();
+		this.saved = task.checkpoint();
 	}
 
 	TaskState task() {
@@ -86,9 +102,27 @@
 		return this.stopping;
 	}
 
-	/** From now on the run is to end; a second call changes nothing. */
-	void stop() {
+	/**
+	 * From now on the run is to end; a second call changes nothing.
+	 * @param why for what its work is lost
+	 */
+	void stop(WorkOutcome why) {
 		this.stopping = true;
+		losesFor(why);
+	}
+
+	/**
+	 * Takes note of why its work is lost; the first reason counts.
+	 * @param why the reason
+	 */
+	void losesFor(WorkOutcome why) {
+		if (this.loss.isEmpty()) {
+			this.loss = Optional.of(why);
+		}
+	}
+
+	Optional<WorkOutcome> loss() {
+		return this.loss;
 	}
 
 	long lastOrderMillis() {
@@ -120,6 +154,65 @@
 		this.seenMillis = now;
 	}
 
+	/**
+	 * All that has to be there for it to work is there.
+	 * @param now the steady clock
+	 */
+	void atWork(long now) {
+		if (this.atWorkMillis == NOT_YET) {
+			this.atWorkMillis = now;
+		}
+	}
+
+	void seenSaved(String checkpoint) {
+		if (!checkpoint.isEmpty() && !checkpoint.equals(this.saved)) {
+			this.saved = checkpoint;
+			this.savedAtMillis = this.seenMillis;
+		}
+	}
+
+	/**
+	 * For how long it held its room and could not work.
+	 * @param now the steady clock
+	 * @return milliseconds
+	 */
+	long waitedMillis(long now) {
+		if (!running()) {
+			return 0;
+		}
+		return ((this.atWorkMillis == NOT_YET) ? now : this.atWorkMillis) - this.startedMillis;
+	}
+
+	/**
+	 * For how long it worked.
+	 * @param now the steady clock
+	 * @return milliseconds; of a run that an earlier term ordered at least what its
+	 * progress tells
+	 */
+	long workedMillis(long now) {
+		if (this.atWorkMillis == NOT_YET) {
+			return 0;
+		}
+		long told = this.beginningSeen ? 0 : this.task.step().expectedMillis() * this.percent / WHOLE;
+		return Math.max(now - this.atWorkMillis, told);
+	}
+
+	/**
+	 * How much of its work a checkpoint holds.
+	 * @param checkpoint its last checkpoint, or empty
+	 * @param now the steady clock
+	 * @return milliseconds
+	 */
+	long savedMillis(String checkpoint, long now) {
+		if (!checkpoint.isEmpty() && !checkpoint.equals(this.saved)) {
+			return workedMillis(now);
+		}
+		if (this.savedAtMillis == NOT_YET || this.atWorkMillis == NOT_YET) {
+			return 0;
+		}
+		return Math.max(0, workedMillis(now) - (now - this.savedAtMillis));
+	}
+
 	/**
 	 * For how long it was seen without any progress.
 	 * @return milliseconds between the reports of the same percentage
--- a/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
@@ -6,6 +6,7 @@
 
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.RunEnding;
+import org.almondmount.workflow.WorkOutcome;
 import org.almondmount.workflow.WorkflowCommand;
 
 /**
@@ -59,12 +60,16 @@
 		TaskState task = run.task();
 		StepState step = task.step();
 		JobState job = step.job();
+		RunWork work = RunWork.of(run, how, checkpoint, this.state.steadyMillis());
 		run.worker().remove(run);
 		task.openRuns().remove(run);
 		task.checkpoint(checkpoint);
 		this.state.writeAhead().changed(job);
 		this.state.explain("run-ended", "job", job.id(), "task", task.id(), "run", run.number(), "how", how, "worker",
-				run.worker().target(), "life", run.worker().life());
+				run.worker().target(), "life", run.worker().life(), "cause", work.cause(), "keptCoreSeconds",
+				Math.round(work.keptCoreSeconds()), "lostCoreSeconds", Math.round(work.lostCoreSeconds()),
+				"waitedCoreSeconds", Math.round(work.waitedCoreSeconds()));
+		account(work);
 		if (how.done()) {
 			run.worker().health().succeeded();
 			learn(run);
@@ -74,19 +79,30 @@
 			taskFailed(run);
 		}
 		if (step.spec().gang() && !step.done()) {
-			stopAll(step);
+			stopAll(step, work.cause());
 		}
 	}
 
+	/**
+	 * Closes a run that is surely over, though its worker did not list its end.
+	 * @param run the run
+	 * @param why for what its work is lost, unless a reason is known already
+	 */
+	void lose(Run run, WorkOutcome why) {
+		run.losesFor(why);
+		close(run, RunEnding.LOST, "");
+	}
+
 	/**
 	 * Orders a run to end.
 	 * @param run the run
+	 * @param why for what its work is lost
 	 */
-	void stop(Run run) {
+	void stop(Run run, WorkOutcome why) {
 		if (run.stopping()) {
 			return;
 		}
-		run.stop();
+		run.stop(why);
 		if (run.state() != Run.State.KEEPING) {
 			orderStop(run);
 		}
@@ -130,7 +146,7 @@
 				orderStart(run);
 			}
 			else {
-				close(run, RunEnding.LOST, "");
+				lose(run, WorkOutcome.UNSETTLED);
 			}
 		}
 	}
@@ -172,14 +188,28 @@
 		if (!job.over() && failures >= most) {
 			job.phase(JobPhase.FAILED);
 			this.state.explain("job-failed", "job", job.id(), "task", run.task().id(), "attempts", failures);
-			job.openRuns().forEach(this::stop);
+			job.openRuns().forEach((open) -> stop(open, WorkOutcome.JOB_FAILED));
 		}
 	}
 
 	// The worker ends the other members by itself, but one whose start is still on its
 	// way would wait for them until the gang's time runs out.
-	private void stopAll(StepState step) {
-		step.tasks().forEach((task) -> List.copyOf(task.openRuns()).forEach(this::stop));
+	private void stopAll(StepState step, WorkOutcome why) {
+		for (TaskState task : step.tasks()) {
+			List.copyOf(task.openRuns()).forEach((run) -> stop(run, why));
+		}
+	}
+
+	private void account(RunWork work) {
+		account(WorkOutcome.KEPT, work.keptCoreSeconds());
+		account(work.cause(), work.lostCoreSeconds());
+		account(WorkOutcome.GANG_WAITED, work.waitedCoreSeconds());
+	}
+
+	private void account(WorkOutcome outcome, double coreSeconds) {
+		if (coreSeconds > 0) {
+			this.state.emit(new WorkflowCommand.AccountWork(outcome, coreSeconds));
+		}
 	}
 
 }
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunWork.java
@@ -0,0 +1,71 @@
+package org.almondmount.workflow.impl;
+
+import org.almondmount.workflow.RunEnding;
+import org.almondmount.workflow.Step;
+import org.almondmount.workflow.WorkOutcome;
+
+/**
+ * How much of a run's work is kept and how much is lost, by what its worker told of it.
+ * Immutable.
+ * <p>
+ * Times are those at which the holder heard, so each figure may be off by the time
+ * between two reports. Of a run that was never heard of nothing is counted.
+ *
+ * @param keptCoreSeconds work that is done or saved
+ * @param lostCoreSeconds work that has to be done again, or is of no use to anybody
+ * @param waitedCoreSeconds room held by a member of a gang that was not yet whole
+ * @param cause why work was lost; {@link WorkOutcome#KEPT} where it was not
+ */
+record RunWork(double keptCoreSeconds, double lostCoreSeconds, double waitedCoreSeconds, WorkOutcome cause) {
+
+	private static final double MILLIS = 1_000.0;
+
+	/**
+	 * Accounts for a run that is over.
+	 * @param run the run, still open
+	 * @param how how it ended
+	 * @param checkpoint its last checkpoint, or empty
+	 * @param now the steady clock
+	 * @return its work
+	 */
+	static RunWork of(Run run, RunEnding how, String checkpoint, long now) {
+		Step step = run.task().step().spec();
+		double cores = step.room().coreEquivalents();
+		double waited = cores * run.waitedMillis(now) / MILLIS;
+		double worked = cores * run.workedMillis(now) / MILLIS;
+		if (how.done() || run.task().step().done() || step.lasting()) {
+			return new RunWork(worked, 0, waited, WorkOutcome.KEPT);
+		}
+		WorkOutcome cause = run.loss().orElseGet(() -> causeOf(run, how, now));
+		boolean jobIsOver = cause == WorkOutcome.CANCELLED || cause == WorkOutcome.JOB_FAILED;
+		double saved = (step.checkpoints() && !jobIsOver) ? cores * run.savedMillis(checkpoint, now) / MILLIS : 0;
+		return new RunWork(saved, worked - saved, waited, cause);
+	}
+
+	private static WorkOutcome causeOf(Run run, RunEnding how, long now) {
+		return switch (how) {
+			case FAILED -> WorkOutcome.FAILED_TRY;
+			case LAPSED -> WorkOutcome.LEASE_LAPSED;
+			case ALONE -> WorkOutcome.GANG_WAITED;
+			case BROKEN -> causeInGang(run, now);
+			case DONE, STOPPED, LOST -> WorkOutcome.UNSETTLED;
+		};
+	}
+
+	// The members that live are often heard before the one that ended: its worker is
+	// leaving, or silent since.
+	private static WorkOutcome causeInGang(Run run, long now) {
+		for (TaskState task : run.task().step().tasks()) {
+			for (Run member : task.openRuns()) {
+				if (member.worker().draining()) {
+					return WorkOutcome.WORKER_LEFT;
+				}
+				if (member != run && now - member.worker().lastHeardMillis() > Worker.SILENT_MILLIS) {
+					return WorkOutcome.WORKER_LOST;
+				}
+			}
+		}
+		return WorkOutcome.GANG_BROKEN;
+	}
+
+}
--- a/core/src/main/java/org/almondmount/workflow/impl/Worker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Worker.java
@@ -14,6 +14,12 @@
  */
 final class Worker {
 
+	/**
+	 * A worker that was not heard of for so long is probably gone, in milliseconds: two
+	 * of its heartbeats are missing.
+	 */
+	static final long SILENT_MILLIS = 2_000;
+
 	private final String target;
 
 	private final WorkerLife life;
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.almondmount.workflow.RunEnding;
 import org.almondmount.workflow.TaskId;
+import org.almondmount.workflow.WorkOutcome;
 import org.almondmount.workflow.WorkerLife;
 import org.almondmount.workflow.WorkerReport;
 import org.almondmount.workflow.WorkflowCommand;
@@ -70,7 +70,7 @@
 				worker.health().restUntil(this.state.steadyMillis() + this.state.policy().refusalPauseMillis());
 			}
 			this.state.explain("run-refused", "task", task, "run", number, "worker", target, "why", why);
-			this.ledger.close(run, RunEnding.LOST, "");
+			this.ledger.lose(run, worker.draining() ? WorkOutcome.WORKER_LEFT : WorkOutcome.UNSETTLED);
 		});
 	}
 
@@ -97,7 +97,7 @@
 	}
 
 	private void closeAll(Worker worker) {
-		List.copyOf(worker.runs()).forEach((run) -> this.ledger.close(run, RunEnding.LOST, ""));
+		List.copyOf(worker.runs()).forEach((run) -> this.ledger.lose(run, WorkOutcome.WORKER_LOST));
 	}
 
 	private void repeatOrder(long now, Run run) {
@@ -123,7 +123,7 @@
 				&& run.leftMillis(now) > worker.leavesMillis() - now) {
 			this.state.explain("run-moves", "task", run.task().id(), "run", run.number(), "worker", worker.target(),
 					"why", "the worker leaves");
-			this.ledger.stop(run);
+			this.ledger.stop(run, WorkOutcome.WORKER_LEFT);
 		}
 	}
 
@@ -141,7 +141,7 @@
 		this.state.explain("run-stands-still", "task", run.task().id(), "run", run.number(), "worker",
 				run.worker().target(), "percent", run.percent(), "millis", run.stillMillis());
 		run.worker().health().restUntil(now + STANDSTILL_REST_MILLIS);
-		this.ledger.stop(run);
+		this.ledger.stop(run, WorkOutcome.STOOD_STILL);
 	}
 
 	private static boolean wholeGangRuns(Run run) {
@@ -177,11 +177,11 @@
 	private void outlived(Run run, Worker next) {
 		if (run.state() == Run.State.KEEPING) {
 			run.worker().remove(run);
-			this.ledger.close(run, RunEnding.LOST, "");
+			this.ledger.lose(run, WorkOutcome.WORKER_LOST);
 			return;
 		}
 		run.moveTo(next);
-		run.stop();
+		run.stop(WorkOutcome.WORKER_LOST);
 		this.ledger.orderStop(run);
 	}
 
@@ -192,8 +192,23 @@
 			this.state.emit(new WorkflowCommand.StopRun(worker.target(), worker.life(), running.task(), running.run()));
 			return;
 		}
-		known.get().seenRunning(this.state.steadyMillis(), running.percent());
-		known.get().task().checkpoint(running.checkpoint());
+		Run run = known.get();
+		run.seenRunning(this.state.steadyMillis(), running.percent());
+		run.seenSaved(running.checkpoint());
+		run.task().checkpoint(running.checkpoint());
+		if (!run.task().step().spec().gang()) {
+			run.atWork(this.state.steadyMillis());
+		}
+		else if (wholeGangRuns(run)) {
+			gangIsWhole(run);
+		}
+	}
+
+	private void gangIsWhole(Run run) {
+		long now = this.state.steadyMillis();
+		for (TaskState task : run.task().step().tasks()) {
+			task.openRun(run.number()).ifPresent((member) -> member.atWork(now));
+		}
 	}
 
 	private void ended(Worker worker, List<WorkerReport.Ended> ends) {
@@ -222,7 +237,7 @@
 		for (Run run : List.copyOf(worker.runs())) {
 			boolean absent = !running.contains(run.task().id() + "/" + run.number());
 			if (run.state() == Run.State.INHERITED && absent) {
-				this.ledger.stop(run);
+				this.ledger.stop(run, WorkOutcome.UNSETTLED);
 			}
 		}
 	}
--- a/core/src/test/java/org/almondmount/workflow/SchedulerFixture.java
+++ b/core/src/test/java/org/almondmount/workflow/SchedulerFixture.java
@@ -144,6 +144,11 @@
 				Step.ServiceTerms.NONE);
 	}
 
+	static Step saving(int count, long accelerators) {
+		return new Step(count, amount(accelerators), 10_000, List.of(), true, false, Step.Placement.ANYWHERE, false,
+				Step.ServiceTerms.NONE);
+	}
+
 	static Step gang(int count, long accelerators) {
 		return new Step(count, amount(accelerators), 10_000, List.of(), false, true, Step.Placement.ANYWHERE, false,
 				Step.ServiceTerms.NONE);
--- a/daemon/src/main/java/org/almondmount/daemon/cli/JobTrace.java
+++ b/daemon/src/main/java/org/almondmount/daemon/cli/JobTrace.java
@@ -61,6 +61,7 @@
 		handedIn(lines).ifPresent(findings::add);
 		waited(lines).ifPresent(findings::add);
 		findings.addAll(endings(job, lines));
+		findings.addAll(work(job, lines));
 		findings.addAll(lost(lines));
 		findings.add(ended(lines));
 		return findings;
@@ -97,6 +98,33 @@
 		return endings;
 	}
 
+	private static List<String> work(String job, List<LogLine> lines) {
+		long kept = 0;
+		Map<String, Long> lost = new TreeMap<>();
+		for (LogLine line : lines) {
+			if (!line.event().equals("run-ended") || !line.names(job)) {
+				continue;
+			}
+			kept += coreSeconds(line, "keptCoreSeconds");
+			lost.merge(line.value("cause"), coreSeconds(line, "lostCoreSeconds"), Long::sum);
+			lost.merge("GANG_WAITED", coreSeconds(line, "waitedCoreSeconds"), Long::sum);
+		}
+		lost.values().removeIf((amount) -> amount == 0);
+		if (lost.isEmpty()) {
+			return List.of();
+		}
+		List<String> findings = new ArrayList<>();
+		findings.add("Of its work " + kept + " core-seconds were kept.");
+		lost.forEach((cause, amount) -> findings.add(amount + " core-seconds were lost as " + cause + "."));
+		return findings;
+	}
+
+	// Lines of earlier versions do not say it.
+	private static long coreSeconds(LogLine line, String key) {
+		String value = line.value(key);
+		return value.isEmpty() ? 0 : Long.parseLong(value);
+	}
+
 	private static List<String> lost(List<LogLine> lines) {
 		List<String> lost = new ArrayList<>();
 		for (LogLine line : lines) {
--- a/daemon/src/test/java/org/almondmount/daemon/cli/TraceCommandTests.java
+++ b/daemon/src/test/java/org/almondmount/daemon/cli/TraceCommandTests.java
@@ -53,6 +53,19 @@
 			.doesNotContain("term-began");
 	}
 
+	@Test
+	void addsUpWhatWasLostOfItsWorkByCause() throws IOException {
+		String end = "time=%d event=run-ended job=" + JOB + " how=%s worker=w cause=%s keptCoreSeconds=%d"
+				+ " lostCoreSeconds=%d waitedCoreSeconds=%d%n";
+		String log = end.formatted(5, "BROKEN", "WORKER_LEFT", 10, 200, 0)
+				+ end.formatted(6, "STOPPED", "WORKER_LEFT", 0, 100, 7) + end.formatted(9, "DONE", "KEPT", 40, 0, 0);
+		run("trace", JOB, file("holder.log", log));
+		assertThat(text(this.out)).contains("finding: Of its work 50 core-seconds were kept.")
+			.contains("finding: 300 core-seconds were lost as WORKER_LEFT.")
+			.contains("finding: 7 core-seconds were lost as GANG_WAITED.")
+			.doesNotContain("as KEPT");
+	}
+
 	@Test
 	void saysWhyAJobWasNeverAccepted() throws IOException {
 		String log = "time=5 level=warn event=job-not-accepted job=" + JOB + " outcome=REFUSED why=\"store silent\"";
--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -26,6 +26,7 @@
 import org.almondmount.workflow.FleetConfiguration;
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.JobRecord;
+import org.almondmount.workflow.WorkOutcome;
 import org.almondmount.workflow.Workflow;
 import org.almondmount.workflow.WorkflowCommand;
 import org.almondmount.workflow.WorkflowEvent;
@@ -40,6 +41,9 @@
 
 	private static final EventLog LOG = EventLog.of(HolderDesk.class);
 
+	/** Core-seconds of work that is over, by what became of it. */
+	private static final String WORK = "work";
+
 	private static final int PAGE = 500;
 
 	/** Progress without a job that is removed in one transaction. */
@@ -98,6 +102,7 @@
 		this.term = term;
 		this.targets = targets;
 		this.leaseMillis = leaseMillis;
+		telemetry.declare(WORK, WorkOutcome.class);
 	}
 
 	void start() {
@@ -212,6 +217,9 @@
 			this.savingSequence = keep.sequence();
 			this.term.save(keep.sequence());
 		}
+		else if (command instanceof WorkflowCommand.AccountWork work) {
+			this.telemetry.count(WORK, work.outcome(), Math.round(work.coreSeconds()));
+		}
 		else if (command instanceof WorkflowCommand.Forget forget) {
 			forget(forget.jobs());
 		}
--- a/runtime/src/main/java/org/almondmount/telemetry/Telemetry.java
+++ b/runtime/src/main/java/org/almondmount/telemetry/Telemetry.java
@@ -37,6 +37,16 @@
 		this.registry.counter(name(family, reason)).inc();
 	}
 
+	/**
+	 * Counts an amount.
+	 * @param family what is counted
+	 * @param reason why
+	 * @param amount how much
+	 */
+	public void count(String family, Enum<?> reason, long amount) {
+		this.registry.counter(name(family, reason)).inc(amount);
+	}
+
 	/**
 	 * Counts one event that has no reason.
 	 * @param name the counter's name, a constant
