Each mechanism of the workflow scheduler has a switch in a policy file

Cause: nobody could say what learning, reserving, giving way or packing are worth, because none could be switched off by itself. Guarantees, whole gangs, zones and attempts are promises and have no switch. Decisions with all features on are unchanged.

--- a/core/src/main/java/org/almondmount/workflow/SchedulerPolicy.java
+++ b/core/src/main/java/org/almondmount/workflow/SchedulerPolicy.java
@@ -1,5 +1,9 @@
 package org.almondmount.workflow;
 
+import java.util.Collections;
+import java.util.EnumSet;
+import java.util.Set;
+
 /**
  * The times by which the workflow scheduler decides. Immutable.
  *
@@ -10,9 +14,10 @@
  * @param refusalPauseMillis how long a worker that refused a run gets nothing new
  * @param stopMillis how long a worker takes at most to end a run
  * @param statusMillis how long callers can ask for a job that has ended
+ * @param features what it does beyond its promises
  */
 public record SchedulerPolicy(long leaseMillis, long usableSilenceMillis, long orderRetryMillis,
-		long refusalPauseMillis, long stopMillis, long statusMillis) {
+		long refusalPauseMillis, long stopMillis, long statusMillis, Set<SchedulerFeature> features) {
 
 	/**
 	 * Two heartbeats of a target may be missing before it counts as silent, an order is
@@ -20,7 +25,8 @@
 	 * looked at again in a third of a second. The slowest workers known take 0.9 s to end
 	 * a run.
 	 */
-	public static final SchedulerPolicy DEFAULT = new SchedulerPolicy(6_000, 2_500, 800, 300, 900, 600_000);
+	public static final SchedulerPolicy DEFAULT = new SchedulerPolicy(6_000, 2_500, 800, 300, 900, 600_000,
+			SchedulerFeature.ALL);
 
 	/** A worker's clock may be 2 % slow, and a lease is measured on it. */
 	private static final double SLOWEST_CLOCK = 1.02;
@@ -28,19 +34,39 @@
 	/** Time for an end at the worker to take effect, in milliseconds. */
 	private static final long LAPSE_MARGIN_MILLIS = 300;
 
+	public SchedulerPolicy {
+		features = features.isEmpty() ? Set.of() : Collections.unmodifiableSet(EnumSet.copyOf(features));
+	}
+
 	public SchedulerPolicy withLeaseMillis(long millis) {
 		return new SchedulerPolicy(millis, this.usableSilenceMillis, this.orderRetryMillis, this.refusalPauseMillis,
-				this.stopMillis, this.statusMillis);
+				this.stopMillis, this.statusMillis, this.features);
 	}
 
 	public SchedulerPolicy withStopMillis(long millis) {
 		return new SchedulerPolicy(this.leaseMillis, this.usableSilenceMillis, this.orderRetryMillis,
-				this.refusalPauseMillis, millis, this.statusMillis);
+				this.refusalPauseMillis, millis, this.statusMillis, this.features);
 	}
 
 	public SchedulerPolicy withStatusMillis(long millis) {
 		return new SchedulerPolicy(this.leaseMillis, this.usableSilenceMillis, this.orderRetryMillis,
-				this.refusalPauseMillis, this.stopMillis, millis);
+				this.refusalPauseMillis, this.stopMillis, millis, this.features);
+	}
+
+	public SchedulerPolicy withFeatures(Set<SchedulerFeature> some) {
+		return new SchedulerPolicy(this.leaseMillis, this.usableSilenceMillis, this.orderRetryMillis,
+				this.refusalPauseMillis, this.stopMillis, this.statusMillis, some);
+	}
+
+	public SchedulerPolicy without(SchedulerFeature feature) {
+		Set<SchedulerFeature> others = EnumSet.copyOf(SchedulerFeature.ALL);
+		others.retainAll(this.features);
+		others.remove(feature);
+		return withFeatures(others);
+	}
+
+	public boolean has(SchedulerFeature feature) {
+		return this.features.contains(feature);
 	}
 
 	/**
--- a/core/src/main/java/org/almondmount/workflow/impl/Outlook.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Outlook.java
@@ -52,6 +52,10 @@
 		return new Outlook(timeliness, latest, remaining);
 	}
 
+	Outlook asIfInTime() {
+		return new Outlook(Timeliness.IN_TIME, this.latestStartMillis, this.remainingCoreSeconds);
+	}
+
 	/**
 	 * By when a step has to start for its job to end within some objectives.
 	 * @param queue the queue of its job
--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 
 import org.almondmount.workflow.JobQueue;
+import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.WorkOutcome;
 
 /**
@@ -34,9 +35,9 @@
 
 	private final WaitingWork waiting;
 
-	private final Placer placer = new Placer();
+	private final Placer placer;
 
-	private final Preemption preemption = new Preemption(this.placer);
+	private final Preemption preemption;
 
 	private final List<Reservation> reservations = new ArrayList<>();
 
@@ -52,6 +53,8 @@
 		this.state = state;
 		this.ledger = ledger;
 		this.waiting = new WaitingWork(state);
+		this.placer = new Placer(state.policy());
+		this.preemption = new Preemption(this.placer);
 	}
 
 	void clear() {
@@ -88,7 +91,8 @@
 		if (this.cleared.containsKey(unit.first())) {
 			return;
 		}
-		boolean worthKeepingRoom = !unit.outlook().timeliness().waitsBehindAll();
+		boolean worthKeepingRoom = this.state.has(SchedulerFeature.RESERVE_ROOM)
+				&& !unit.outlook().timeliness().waitsBehindAll();
 		if (worthKeepingRoom && this.reservations.size() < MOST_RESERVATIONS) {
 			reserve(unit);
 			return;
@@ -110,7 +114,8 @@
 			plan(unit, this::mayGiveWay).or(() -> plan(unit, this::isBeyondGuarantee))
 				.ifPresent((plan) -> giveWay(unit, plan));
 		}
-		else if (unit.queue().urgent() && unit.outlook().timeliness() == Timeliness.IN_TIME) {
+		else if (this.state.has(SchedulerFeature.GIVE_WAY_TO_URGENT) && unit.queue().urgent()
+				&& unit.outlook().timeliness() == Timeliness.IN_TIME) {
 			makeRoomBeyondGuarantee(unit);
 		}
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/Placer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -8,6 +8,10 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.SchedulerFeature;
+import org.almondmount.workflow.SchedulerPolicy;
+
 /**
  * Chooses workers for a unit. Stateless.
  * <p>
@@ -24,6 +28,12 @@
 	/** One failed job outweighs a better fit, not the rack of the data. */
 	private static final double DOUBT_COST = 3;
 
+	private final SchedulerPolicy policy;
+
+	Placer(SchedulerPolicy policy) {
+		this.policy = policy;
+	}
+
 	/**
 	 * Chooses workers.
 	 * @param unit what is to be placed
@@ -74,7 +84,8 @@
 	 * else ran in it
 	 */
 	boolean goesInOneRack(WorkUnit unit, List<Worker> workers) {
-		return unit.wantsOneRack() && anyRackCouldHold(unit, workers);
+		return this.policy.has(SchedulerFeature.GANG_IN_ONE_RACK) && unit.wantsOneRack()
+				&& anyRackCouldHold(unit, workers);
 	}
 
 	private boolean anyRackCouldHold(WorkUnit unit, List<Worker> workers) {
@@ -93,7 +104,7 @@
 	Optional<Map<TaskState, Worker>> fill(WorkUnit unit, List<Worker> workers, Rooms rooms) {
 		List<Worker> order = new ArrayList<>(workers);
 		order.sort(Comparator.comparingInt((Worker worker) -> worker.health().doubt())
-			.thenComparingDouble((worker) -> rooms.free(worker).shareOf(worker.capacity())));
+			.thenComparingDouble((worker) -> fitCost(worker, rooms.free(worker))));
 		return fillInOrder(unit, order, rooms);
 	}
 
@@ -120,7 +131,7 @@
 		return Optional.of(placement);
 	}
 
-	private static Optional<Map<TaskState, Worker>> single(WorkUnit unit, List<Worker> workers, Rooms rooms) {
+	private Optional<Map<TaskState, Worker>> single(WorkUnit unit, List<Worker> workers, Rooms rooms) {
 		String near = unit.step().spec().placement().dataRack();
 		Worker best = null;
 		double bestCost = Double.MAX_VALUE;
@@ -128,7 +139,7 @@
 			if (!rooms.takes(worker, unit)) {
 				continue;
 			}
-			double cost = rooms.free(worker).minus(unit.room()).shareOf(worker.capacity());
+			double cost = fitCost(worker, rooms.free(worker).minus(unit.room()));
 			cost += farCost(near, worker) + worker.health().doubt() * DOUBT_COST;
 			if (cost < bestCost) {
 				best = worker;
@@ -138,6 +149,10 @@
 		return (best != null) ? Optional.of(Map.of(unit.tasks().get(0), best)) : Optional.empty();
 	}
 
+	private double fitCost(Worker worker, ResourceAmount free) {
+		return this.policy.has(SchedulerFeature.PACK_TIGHTLY) ? free.shareOf(worker.capacity()) : 0;
+	}
+
 	private static double farCost(String near, Worker worker) {
 		return (near.isEmpty() || near.equals(worker.rack())) ? 0 : FAR_COST;
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
@@ -6,6 +6,7 @@
 
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.RunEnding;
+import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.WorkOutcome;
 import org.almondmount.workflow.WorkflowCommand;
 
@@ -153,7 +154,7 @@
 
 	private void learn(Run run) {
 		StepState step = run.task().step();
-		if (!run.seenWhole() || step.spec().lasting()) {
+		if (!run.seenWhole() || step.spec().lasting() || !this.state.has(SchedulerFeature.LEARN_RUN_TIMES)) {
 			return;
 		}
 		long millis = this.state.steadyMillis() - run.startedMillis();
@@ -176,7 +177,8 @@
 	private void taskFailed(Run run) {
 		StepState step = run.task().step();
 		JobState job = step.job();
-		if (run.worker().health().failed(this.state.steadyMillis(), job.id())) {
+		if (this.state.has(SchedulerFeature.REST_SUSPICIOUS)
+				&& run.worker().health().failed(this.state.steadyMillis(), job.id())) {
 			this.state.explain("worker-paused", "worker", run.worker().target(), "why", "several jobs failed there");
 		}
 		if (step.spec().lasting()) {
--- a/core/src/main/java/org/almondmount/workflow/impl/SchedulerState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/SchedulerState.java
@@ -9,6 +9,7 @@
 
 import org.almondmount.workflow.FleetConfiguration;
 import org.almondmount.workflow.JobQueue;
+import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.SchedulerPolicy;
 import org.almondmount.workflow.WorkerLife;
 import org.almondmount.workflow.WorkflowCommand;
@@ -47,6 +48,10 @@
 		return this.policy;
 	}
 
+	boolean has(SchedulerFeature feature) {
+		return this.policy.has(feature);
+	}
+
 	Map<String, JobState> jobs() {
 		return this.jobs;
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/WaitingWork.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WaitingWork.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import org.almondmount.workflow.JobQueue;
+import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.WorkerDescription;
 import org.almondmount.workflow.Workflow;
 
@@ -85,6 +86,9 @@
 			return;
 		}
 		Outlook outlook = Outlook.of(this.state.wallMillis(), queue, step, dueMillis(step), eligible);
+		if (!this.state.has(SchedulerFeature.LATE_WAITS_BEHIND)) {
+			outlook = outlook.asIfInTime();
+		}
 		if (step.spec().gang()) {
 			if (step.allIdle()) {
 				units.add(new WorkUnit(queue, step, step.tasks(), eligible, outlook, guaranteed));
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.TaskId;
 import org.almondmount.workflow.WorkOutcome;
 import org.almondmount.workflow.WorkerLife;
@@ -117,7 +118,7 @@
 	// last moment is kept; what does not has nothing to gain by an earlier end.
 	private void leaveInTime(long now, Run run) {
 		Worker worker = run.worker();
-		boolean going = worker.draining()
+		boolean going = worker.draining() && this.state.has(SchedulerFeature.MOVE_FROM_LEAVING)
 				&& now >= worker.leavesMillis() - this.state.policy().stopMillis() - ORDER_WAY_MILLIS;
 		if (going && run.running() && !run.stopping() && run.task().step().spec().checkpoints()
 				&& run.leftMillis(now) > worker.leavesMillis() - now) {
@@ -135,7 +136,8 @@
 	// stopping it would throw the work of all of them away.
 	private void leaveStandstill(long now, Run run) {
 		boolean still = run.running() && !run.stopping() && !run.atItsEnd() && run.stillMillis() >= STANDSTILL_MILLIS;
-		if (!still || run.task().step().spec().lasting() || !wholeGangRuns(run)) {
+		if (!still || !this.state.has(SchedulerFeature.STOP_STANDSTILL) || run.task().step().spec().lasting()
+				|| !wholeGangRuns(run)) {
 			return;
 		}
 		this.state.explain("run-stands-still", "task", run.task().id(), "run", run.number(), "worker",
--- a/fleet/src/main/java/org/almondmount/fleet/FleetSettings.java
+++ b/fleet/src/main/java/org/almondmount/fleet/FleetSettings.java
@@ -2,8 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Set;
 
 import org.almondmount.wire.PeerSettings;
+import org.almondmount.workflow.SchedulerFeature;
 
 /**
  * What an entry or a target has to know of its installation. Immutable.
@@ -17,9 +19,10 @@
  * @param drain time for an orderly end
  * @param stop how long a worker takes at most to end a run
  * @param status how long callers can ask for a job that has ended
+ * @param features what the scheduler does beyond its promises
  */
 public record FleetSettings(String name, String zone, InetSocketAddress peers, String sharedKey, Duration lease,
-		Duration termLength, Duration drain, Duration stop, Duration status) {
+		Duration termLength, Duration drain, Duration stop, Duration status, Set<SchedulerFeature> features) {
 
 	/** Two words of a peer may be missing before its connection counts as dead. */
 	private static final Duration PEER_SILENCE = Duration.ofMillis(2_500);
@@ -30,6 +33,11 @@
 
 	private static final int MOST_OUTSTANDING_BYTES = 16 << 20;
 
+	public FleetSettings withFeatures(Set<SchedulerFeature> some) {
+		return new FleetSettings(this.name, this.zone, this.peers, this.sharedKey, this.lease, this.termLength,
+				this.drain, this.stop, this.status, some);
+	}
+
 	public PeerSettings peer() {
 		return new PeerSettings(this.sharedKey, PEER_SILENCE, HANDSHAKE, MOST_FRAME_BYTES, MOST_OUTSTANDING_BYTES);
 	}
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -123,7 +123,8 @@
 		this.holder = new HolderDesk(
 				new DefaultWorkflowScheduler(SchedulerPolicy.DEFAULT.withLeaseMillis(settings.lease().toMillis())
 					.withStopMillis(settings.stop().toMillis())
-					.withStatusMillis(settings.status().toMillis())),
+					.withStatusMillis(settings.status().toMillis())
+					.withFeatures(settings.features())),
 				store, this.loop, telemetry, this.term, this.targets, settings.lease().toMillis());
 		EntryCalls calls = new EntryCalls(this.term, this.peers);
 		this.intake = new JobIntake(store, this.loop, this.patience, telemetry, this.holder, this.term, this.peers,
--- a/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
@@ -25,6 +25,7 @@
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.JobQueue;
 import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.Step;
 import org.almondmount.workflow.Workflow;
 
@@ -238,7 +239,8 @@
 
 		FleetSettings settings(int port) {
 			return new FleetSettings(this.name, "zone-0", new InetSocketAddress("127.0.0.1", port), "key", LEASE,
-					Duration.ofMillis(2_400), Duration.ofSeconds(5), Duration.ofMillis(900), STATUS);
+					Duration.ofMillis(2_400), Duration.ofSeconds(5), Duration.ofMillis(900), STATUS,
+					SchedulerFeature.ALL);
 		}
 
 		boolean dead() {
--- a/runtime/src/main/java/org/almondmount/settings/impl/Section.java
+++ b/runtime/src/main/java/org/almondmount/settings/impl/Section.java
@@ -167,6 +167,18 @@
 		return child.intValue();
 	}
 
+	boolean flag(String key, boolean otherwise) {
+		JsonNode child = take(key);
+		if (child.isMissingNode()) {
+			return otherwise;
+		}
+		if (!child.isBoolean()) {
+			fault(key, shown(child), "true or false", "write one of them without quotes");
+			return otherwise;
+		}
+		return child.booleanValue();
+	}
+
 	int requiredNumber(String key, int least, int most) {
 		if (!this.node.has(key)) {
 			required(key, "a whole number from " + least + " to " + most);
--- a/runtime/src/main/java/org/almondmount/settings/impl/SettingsReader.java
+++ b/runtime/src/main/java/org/almondmount/settings/impl/SettingsReader.java
@@ -3,9 +3,11 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 
 import com.fasterxml.jackson.core.JsonParser;
@@ -27,6 +29,7 @@
 import org.almondmount.settings.SettingsFault;
 import org.almondmount.settings.TargetSettings;
 import org.almondmount.wire.PeerSettings;
+import org.almondmount.workflow.SchedulerFeature;
 
 /**
  * Reads settings files and tells all their faults at once. Thread-safe.
@@ -72,6 +75,19 @@
 		return read(text, SettingsReader::target);
 	}
 
+	/**
+	 * Reads the policy of a scheduler for workflows.
+	 * @param text the file's text
+	 * @return the features that are on, or all faults in the order of reading
+	 */
+	public static Either<List<SettingsFault>, Set<SchedulerFeature>> readPolicy(String text) {
+		return read(text, (root) -> {
+			Set<SchedulerFeature> features = features(root.section("policy"));
+			root.end();
+			return features;
+		});
+	}
+
 	/**
 	 * Whether a file is meant for a target rather than an entry.
 	 * @param text the file's text
@@ -144,6 +160,17 @@
 		return new TargetSettings(balancer, worker, workerApi, instance, slots, connections, peer, timing);
 	}
 
+	private static Set<SchedulerFeature> features(Section section) {
+		Set<SchedulerFeature> features = EnumSet.noneOf(SchedulerFeature.class);
+		for (SchedulerFeature feature : SchedulerFeature.values()) {
+			if (section.flag(feature.key(), true)) {
+				features.add(feature);
+			}
+		}
+		section.end();
+		return features;
+	}
+
 	private static WorkerInfo worker(Section section) {
 		WorkerId name = section.named("name", WorkerId::new);
 		ZoneId zone = section.named("zone", ZoneId::new);
--- a/runtime/src/test/java/org/almondmount/settings/impl/SettingsReaderTests.java
+++ b/runtime/src/test/java/org/almondmount/settings/impl/SettingsReaderTests.java
@@ -18,6 +18,7 @@
 import org.almondmount.settings.TargetSettings;
 import org.almondmount.settings.util.Quantity;
 import org.almondmount.wire.PeerSettings;
+import org.almondmount.workflow.SchedulerFeature;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -47,6 +48,24 @@
 		assertThat(SettingsReader.isForTarget(example("entry.yaml"))).isFalse();
 	}
 
+	@Test
+	void theExampleOfAPolicyGivesTheDefaults() throws IOException {
+		assertThat(SettingsReader.readPolicy(example("policy.yaml")).get()).isEqualTo(SchedulerFeature.ALL);
+	}
+
+	@Test
+	void aFeatureThatIsSwitchedOffIsLeftOut() {
+		assertThat(SettingsReader.readPolicy("policy:\n  reserveRoom: false").get())
+			.hasSize(SchedulerFeature.ALL.size() - 1)
+			.doesNotContain(SchedulerFeature.RESERVE_ROOM);
+	}
+
+	@Test
+	void aFeatureThatDoesNotExistIsAFault() {
+		assertThat(paths(SettingsReader.readPolicy("policy:\n  reserveRooms: false")))
+			.containsExactly("policy.reserveRooms");
+	}
+
 	@Test
 	void tenFaultsAreTenFaults() {
 		String text = """
