--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -29,12 +29,15 @@
 
 	private final EndedJobs endedJobs;
 
+	private final SavedWork savedWork;
+
 	public DefaultWorkflowScheduler(SchedulerPolicy policy) {
 		this.state = new SchedulerState(policy);
 		this.ledger = new RunLedger(this.state);
 		this.reports = new WorkerReports(this.state, this.ledger);
 		this.round = new PlacementRound(this.state, this.ledger);
 		this.endedJobs = new EndedJobs(this.state);
+		this.savedWork = new SavedWork(this.state);
 	}
 
 	@Override
@@ -116,6 +119,7 @@
 		else if (event instanceof WorkflowEvent.Tick) {
 			this.reports.timePassed();
 			this.endedJobs.timePassed();
+			this.savedWork.timePassed();
 		}
 		else if (event instanceof WorkflowEvent.Forgotten forgotten) {
 			this.endedJobs.forgotten(forgotten.jobs());
--- a/core/src/main/java/org/almondmount/workflow/impl/JobState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/JobState.java
@@ -27,6 +27,8 @@
 
 	private JobPhase keptPhase = JobPhase.QUEUED;
 
+	private double unkeptCoreSeconds;
+
 	JobState(Workflow workflow) {
 		this.workflow = workflow;
 		for (int occurrence = 0; occurrence < workflow.schedule().occurrences(); occurrence++) {
@@ -74,6 +76,23 @@
 		return this.phase.over();
 	}
 
+	/**
+	 * Work that a checkpoint holds which is not kept yet.
+	 * @return core-seconds since the last checkpoints that were kept
+	 */
+	double unkeptCoreSeconds() {
+		return this.unkeptCoreSeconds;
+	}
+
+	void saved(double coreSeconds) {
+		this.unkeptCoreSeconds += coreSeconds;
+	}
+
+	/** All that is known of it goes into the next transaction. */
+	void beingKept() {
+		this.unkeptCoreSeconds = 0;
+	}
+
 	/**
 	 * Whether all steps that a step waits for are done.
 	 * @param step the step
@@ -125,6 +144,10 @@
 		return sum;
 	}
 
+	int taskCount() {
+		return this.steps.values().stream().mapToInt((step) -> step.tasks().size()).sum();
+	}
+
 	boolean allDone() {
 		return this.steps.values().stream().allMatch(StepState::done);
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -15,6 +15,14 @@
 
 	private static final long NOT_YET = Long.MIN_VALUE;
 
+	private static final double MILLIS = 1_000.0;
+
+	/**
+	 * What a checkpoint holds at least, in milliseconds: workers save once a second, and
+	 * the first one that is heard of may hold any amount.
+	 */
+	private static final long LEAST_SAVED_MILLIS = 1_000;
+
 	private final TaskState task;
 
 	private final int number;
@@ -165,10 +173,14 @@
 	}
 
 	void seenSaved(String checkpoint) {
-		if (!checkpoint.isEmpty() && !checkpoint.equals(this.saved)) {
-			this.saved = checkpoint;
-			this.savedAtMillis = this.seenMillis;
+		if (checkpoint.isEmpty() || checkpoint.equals(this.saved)) {
+			return;
 		}
+		long since = Math.max(this.startedMillis, this.savedAtMillis);
+		long millis = Math.max(LEAST_SAVED_MILLIS, this.seenMillis - since);
+		this.saved = checkpoint;
+		this.savedAtMillis = this.seenMillis;
+		this.task.step().job().saved(room().coreEquivalents() * millis / MILLIS);
 	}
 
 	/**
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/impl/SavedWork.java
@@ -0,0 +1,71 @@
+package org.almondmount.workflow.impl;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.almondmount.workflow.SchedulerFeature;
+
+/**
+ * Has the checkpoints kept that workers tell of. Mutable; owned by the scheduler.
+ * <p>
+ * A checkpoint that only the holder and the worker know is lost when both lose power, and
+ * the task begins anew however often it had saved. So what is saved goes into the store
+ * within about a second, the most work first. One transaction a second bounds what it
+ * costs, whatever the size of the fleet: it takes the place of the one that renews the
+ * term.
+ */
+final class SavedWork {
+
+	/** Pause between two transactions that keep nothing but checkpoints. */
+	private static final long PAUSE_MILLIS = 1_000;
+
+	/**
+	 * Tasks whose jobs go into one transaction: a row of 64 KB holds 2,500 of them, and a
+	 * transaction of the store 1 MB.
+	 */
+	private static final int MOST_TASKS = 25_000;
+
+	private static final Comparator<JobState> MOST_FIRST = Comparator.comparingDouble(JobState::unkeptCoreSeconds)
+		.reversed();
+
+	private final SchedulerState state;
+
+	private long nextMillis = Long.MIN_VALUE;
+
+	SavedWork(SchedulerState state) {
+		this.state = state;
+	}
+
+	void timePassed() {
+		if (this.state.steadyMillis() < this.nextMillis || !this.state.has(SchedulerFeature.KEEP_CHECKPOINTS)) {
+			return;
+		}
+		List<JobState> unkept = new ArrayList<>();
+		for (JobState job : this.state.jobs().values()) {
+			if (!job.over() && job.unkeptCoreSeconds() > 0) {
+				unkept.add(job);
+			}
+		}
+		if (unkept.isEmpty()) {
+			return;
+		}
+		unkept.sort(MOST_FIRST);
+		keep(unkept);
+		this.nextMillis = this.state.steadyMillis() + PAUSE_MILLIS;
+	}
+
+	private void keep(List<JobState> jobs) {
+		int records = 0;
+		int tasks = 0;
+		for (JobState job : jobs) {
+			records++;
+			tasks += job.taskCount();
+			if (records > WriteAhead.MOST_RECORDS || (tasks > MOST_TASKS && records > 1)) {
+				return;
+			}
+			this.state.writeAhead().changed(job);
+		}
+	}
+
+}
--- a/core/src/main/java/org/almondmount/workflow/impl/WriteAhead.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WriteAhead.java
@@ -25,7 +25,7 @@
 final class WriteAhead {
 
 	/** Records in one transaction; the store takes a hundred entries in all. */
-	private static final int MOST_RECORDS = 90;
+	static final int MOST_RECORDS = 90;
 
 	private final Set<JobState> dirty = new LinkedHashSet<>();
 
@@ -123,6 +123,7 @@
 		void add(JobState job) {
 			this.records.add(job.toRecord());
 			this.phases.put(job, job.phase());
+			job.beingKept();
 		}
 
 		void takeEffect() {
