--- /dev/null
+++ b/core/src/main/java/org/almondmount/intake/IntakeRefusal.java
@@ -0,0 +1,37 @@
+package org.almondmount.intake;
+
+/**
+ * Why a job was not accepted, with what its caller can do.
+ */
+public enum IntakeRefusal {
+
+	/** The store answers nobody here. */
+	STORE_SILENT("the store does not answer; hand the job in again after the time to come back"),
+
+	/** The store answers, and takes nothing from this entry. */
+	STORE_TURNS_AWAY("the store takes nothing from this entry; hand the job in again, it may reach another entry"),
+
+	/** More jobs wait for the store than this entry keeps. */
+	TOO_MANY_WAIT("too many jobs wait for the store here; hand the job in again after the time to come back"),
+
+	/** This entry ends or has too much to do. */
+	BUSY("this entry takes no more work; hand the job in again, it may reach another entry"),
+
+	/** The job was sent to the store, and no answer came. */
+	UNSETTLED("nobody can tell whether the job was accepted; hand the same job in again to settle it");
+
+	private final String remedy;
+
+	IntakeRefusal(String remedy) {
+		this.remedy = remedy;
+	}
+
+	/**
+	 * What is wrong and what to do, for people.
+	 * @return one sentence
+	 */
+	public String remedy() {
+		return this.remedy;
+	}
+
+}
--- a/core/src/main/java/org/almondmount/term/TermEvent.java
+++ b/core/src/main/java/org/almondmount/term/TermEvent.java
@@ -51,6 +51,10 @@
 	record HolderLost() implements TermEvent {
 	}
 
+	/** The store, which was silent, answers again. */
+	record StoreAnswers() implements TermEvent {
+	}
+
 	/** Commit something together with the row, under this term. */
 	record Save(long sequence) implements TermEvent {
 	}
--- a/core/src/main/java/org/almondmount/term/TermKeeper.java
+++ b/core/src/main/java/org/almondmount/term/TermKeeper.java
@@ -151,6 +151,9 @@
 			this.holderHeardAt = Long.MIN_VALUE;
 			this.nextLook = now;
 		}
+		else if (event instanceof TermEvent.StoreAnswers) {
+			storeAnswers(now);
+		}
 		else if (event instanceof TermEvent.Save save) {
 			this.wantedSave = save.sequence();
 		}
@@ -165,6 +168,15 @@
 		}
 	}
 
+	// What was sent into the silence is lost. Waiting for its answer would leave the
+	// installation without a holder, or the holder without its commit, for up to a second
+	// after the store's return.
+	private void storeAnswers(long now) {
+		this.inFlight = false;
+		this.resendAt = now;
+		this.nextLook = now;
+	}
+
 	private void holderQuit(long now, long epochLeft) {
 		if (epochLeft <= this.quitEpoch || this.epoch > epochLeft) {
 			return;
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
 import org.almondmount.fleet.Addresses;
@@ -15,6 +16,8 @@
 import org.almondmount.fleet.StorePatience;
 import org.almondmount.fleet.Submission;
 import org.almondmount.fleet.Tables;
+import org.almondmount.intake.IntakePolicy;
+import org.almondmount.intake.IntakeRefusal;
 import org.almondmount.model.InvalidValueException;
 import org.almondmount.rows.RowStore;
 import org.almondmount.rows.RowStore.Row;
@@ -31,6 +34,7 @@
 import org.almondmount.wire.WireEndpoint;
 import org.almondmount.wire.WireException;
 import org.almondmount.workflow.FleetConfiguration;
+import org.almondmount.workflow.JobQueue;
 import org.almondmount.workflow.SchedulerPolicy;
 import org.almondmount.workflow.Workflow;
 import org.almondmount.workflow.impl.DefaultWorkflowScheduler;
@@ -90,6 +94,8 @@
 
 	private final DeclaredState declared;
 
+	private final StoreProbe probe;
+
 	private final CompletableFuture<Void> released = new CompletableFuture<>();
 
 	private volatile FleetConfiguration configuration = FleetConfiguration.NONE;
@@ -128,9 +134,12 @@
 				store, this.loop, telemetry, this.term, this.targets, settings.lease().toMillis());
 		EntryCalls calls = new EntryCalls(this.term, this.peers);
 		this.intake = new JobIntake(store, this.loop, this.patience, telemetry, this.holder, this.term, this.peers,
-				calls);
+				calls, this::priorityOf);
 		this.desk = new FrontDesk(store, this.loop, this.patience, this.holder, calls, this.intake);
 		this.declared = new DeclaredState(store, reader, this.loop, this::inForce);
+		this.probe = new StoreProbe(store, this.loop, this.patience);
+		this.probe.whenAnswering(this.term::storeAnswers);
+		this.probe.whenAnswering(this.intake::storeAnswers);
 		telemetry.gauge("term.epoch", this.term::epoch);
 	}
 
@@ -160,14 +169,15 @@
 	/**
 	 * Accepts a job.
 	 * @param job the job
-	 * @param withinMillis after which its caller has to have an answer
+	 * @param patience the time that its caller gives, empty where it does not say
 	 * @return what became of it
 	 */
-	public CompletableFuture<Submission> submit(Workflow job, long withinMillis) {
+	public CompletableFuture<Submission> submit(Workflow job, OptionalLong patience) {
 		CompletableFuture<Submission> outcome = new CompletableFuture<>();
-		boolean taken = this.loop.run(() -> this.intake.submit(job, withinMillis, true).thenAccept(outcome::complete));
+		long millis = patience.orElse(IntakePolicy.DEFAULT.usualPatienceMillis());
+		boolean taken = this.loop.run(() -> this.intake.submit(job, millis).thenAccept(outcome::complete));
 		if (!taken) {
-			outcome.complete(Submission.REFUSED);
+			outcome.complete(new Submission.Refused(IntakeRefusal.BUSY, IntakePolicy.DEFAULT.comeBackAfter(millis)));
 		}
 		return outcome;
 	}
@@ -234,11 +244,18 @@
 		this.declared.start();
 		this.term.start();
 		this.holder.start();
+		this.intake.start();
+		this.probe.start();
 		enrol();
 		this.loop.every(HOLDER_WORD_MILLIS, this::speak);
 		this.loop.every(ENTRIES_MILLIS, this::learnEntriesWhenAlone);
 	}
 
+	// Jobs of a queue that is not declared any more go last.
+	private int priorityOf(String queue) {
+		return this.configuration.queue(queue).map(JobQueue::priority).orElse(Integer.MAX_VALUE);
+	}
+
 	private List<Write> writesOf(long sequence) {
 		return this.holder.writesOf(sequence);
 	}
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
@@ -134,9 +134,8 @@
 				this.holder.accepted(RecordCodec.readWorkflow(text(call.body())));
 				yield done(EntryCalls.OK, "");
 			}
-			case EntryCalls.SUBMIT ->
-				this.intake.submit(RecordCodec.readWorkflow(text(call.body())), CANCEL_MILLIS, false)
-					.thenApply((outcome) -> new Answer(statusOf(outcome), ""));
+			case EntryCalls.SUBMIT -> this.intake.submitForPeer(RecordCodec.readWorkflow(text(call.body())))
+				.thenApply((outcome) -> new Answer(statusOf(outcome), ""));
 			case EntryCalls.PHASE -> askedPhase(call.path());
 			case EntryCalls.CANCEL -> askedCancel(call.path());
 			case EntryCalls.WAITING ->
@@ -246,11 +245,10 @@
 	}
 
 	private static int statusOf(Submission outcome) {
-		return switch (outcome) {
-			case ACCEPTED -> EntryCalls.OK;
-			case REFUSED -> EntryCalls.UNAVAILABLE;
-			case UNKNOWN -> EntryCalls.UNSETTLED;
-		};
+		if (outcome instanceof Submission.Accepted) {
+			return EntryCalls.OK;
+		}
+		return (outcome instanceof Submission.Refused) ? EntryCalls.UNAVAILABLE : EntryCalls.UNSETTLED;
 	}
 
 	private static CompletableFuture<Answer> done(int status, String body) {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
@@ -1,18 +1,23 @@
 package org.almondmount.fleet.entry;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.ToIntFunction;
 
 import org.almondmount.fleet.Loop;
 import org.almondmount.fleet.StorePatience;
 import org.almondmount.fleet.Submission;
 import org.almondmount.fleet.Tables;
 import org.almondmount.fleet.codec.RecordCodec;
+import org.almondmount.intake.IntakeLine;
+import org.almondmount.intake.IntakePolicy;
+import org.almondmount.intake.IntakeRefusal;
 import org.almondmount.rows.RowStore;
 import org.almondmount.rows.RowStore.Condition;
 import org.almondmount.rows.RowStore.Place;
@@ -27,17 +32,24 @@
  * <p>
  * A job is accepted once its row is in the store, which any entry can bring about without
  * the holder. A write that was not answered may still take effect, so from then on the
- * job can no longer be refused: its caller hears that nobody can tell.
+ * job can no longer be refused: its caller hears that nobody can tell. What the store
+ * does not take now waits in a line, as long as {@link IntakePolicy} says.
  */
 final class JobIntake {
 
 	private static final EventLog LOG = EventLog.of(JobIntake.class);
 
-	/** Pause before a write that was refused is tried again, in milliseconds. */
-	private static final long REFUSED_PAUSE_MILLIS = 60;
+	/** Jobs that were not accepted, by reason. */
+	private static final String REFUSED = "intake";
 
-	/** Pause between two questions to a store that does not answer, in milliseconds. */
-	private static final long PROBE_PAUSE_MILLIS = 150;
+	/** How often the line is looked at, in milliseconds. */
+	private static final long LINE_MILLIS = 50;
+
+	/** Pause between two writes by which a store that refused is tried again. */
+	private static final long RETRY_MILLIS = 150;
+
+	/** Jobs of the line that are written at the same time once the store takes them. */
+	private static final int MOST_WRITES = 16;
 
 	/**
 	 * Unsettled jobs that are remembered: more than callers leave within a status's time.
@@ -60,13 +72,33 @@
 
 	private final EntryCalls calls;
 
-	private boolean probing;
+	private final ToIntFunction<String> priorityOf;
+
+	private final IntakePolicy policy = IntakePolicy.DEFAULT;
+
+	private final IntakeLine<Attempt> line = new IntakeLine<>(this.policy.mostWaiting());
 
 	/** Jobs of which nobody can tell whether they were accepted, the oldest first. */
 	private final Set<String> unsettled = new LinkedHashSet<>();
 
+	private int writing;
+
+	private long nextRetry = Long.MIN_VALUE;
+
+	/**
+	 * Makes an intake that takes nothing out of its line before {@link #start()}.
+	 * @param store where jobs are kept
+	 * @param loop the thread
+	 * @param patience how long the store is waited for
+	 * @param telemetry the process's metrics
+	 * @param holder the scheduler of this entry
+	 * @param term knows who holds the term
+	 * @param peers the other entries
+	 * @param calls the way to the holder
+	 * @param priorityOf the priority of a queue, 0 for the most urgent
+	 */
 	JobIntake(RowStore store, Loop loop, StorePatience patience, Telemetry telemetry, HolderDesk holder,
-			TermDriver term, PeerLinks peers, EntryCalls calls) {
+			TermDriver term, PeerLinks peers, EntryCalls calls, ToIntFunction<String> priorityOf) {
 		this.store = store;
 		this.loop = loop;
 		this.patience = patience;
@@ -75,91 +107,122 @@
 		this.term = term;
 		this.peers = peers;
 		this.calls = calls;
+		this.priorityOf = priorityOf;
+		telemetry.declare(REFUSED, IntakeRefusal.class);
+	}
+
+	void start() {
+		this.loop.every(LINE_MILLIS, this::lookAtLine);
+	}
+
+	/**
+	 * Accepts a job of a caller.
+	 * @param job the job
+	 * @param patienceMillis the time that its caller gives
+	 * @return what became of it
+	 */
+	CompletableFuture<Submission> submit(Workflow job, long patienceMillis) {
+		return begin(job, patienceMillis, false);
 	}
 
 	/**
-	 * Accepts a job.
+	 * Accepts a job that came to another entry, which waits for the store itself.
 	 * @param job the job
-	 * @param withinMillis after which its caller has to have an answer
-	 * @param mayAskPeer whether another entry may be asked to do it
 	 * @return what became of it
 	 */
-	CompletableFuture<Submission> submit(Workflow job, long withinMillis, boolean mayAskPeer) {
+	CompletableFuture<Submission> submitForPeer(Workflow job) {
+		return begin(job, EntryCalls.HOLDER_MILLIS, true);
+	}
+
+	/** The store answers again. */
+	void storeAnswers() {
+		writeWaiting(MOST_WRITES);
+	}
+
+	private CompletableFuture<Submission> begin(Workflow job, long patienceMillis, boolean forPeer) {
 		CompletableFuture<Submission> outcome = new CompletableFuture<>();
-		Attempt attempt = new Attempt(job, RecordCodec.write(job), this.loop.steadyMillis() + withinMillis, mayAskPeer,
-				outcome);
-		write(attempt);
+		Attempt attempt = new Attempt(job, this.loop.steadyMillis(), patienceMillis, forPeer, outcome);
+		attempt.unsettled = this.unsettled.contains(job.id());
+		if (this.patience.expectsSilence()) {
+			attempt.why = IntakeRefusal.STORE_SILENT;
+			notTaken(attempt);
+		}
+		else {
+			write(attempt);
+		}
 		return outcome;
 	}
 
-	// A job that was sent to a store that does not answer can no longer be refused. So
-	// where no answer is to be expected it is not sent, and its caller hears at once that
-	// it has not run.
 	private void write(Attempt attempt) {
-		if (!attempt.unsettled && this.patience.expectsSilence()) {
-			attempt.atOnce = true;
-			probe();
-			written(attempt, new RowStore.Commit.Refused("the store did not answer the last call"));
-			return;
-		}
 		Place place = Tables.job(attempt.job.id());
 		long sentAt = this.loop.steadyMillis();
+		this.writing++;
 		this.loop.then(this.store.commit(List.of(new Condition(place, 0)),
 				List.of(new Write(place, Optional.of(attempt.text))), this.patience.timeout()), (ending) -> {
-					learn(sentAt, ending);
-					written(attempt, ending);
+					this.writing--;
+					written(attempt, sentAt, ending);
 				});
 	}
 
-	// Whether the store answers again is found out with a read. A job that is sent for
-	// that
-	// can't be refused any more, and its caller may not be allowed to hand it in again.
-	private void probe() {
-		if (this.probing) {
+	private void written(Attempt attempt, long sentAt, RowStore.Commit ending) {
+		if (ending instanceof RowStore.Commit.Refused refused) {
+			attempt.refused(IntakeRefusal.STORE_TURNS_AWAY, refused.why());
+			notTaken(attempt);
 			return;
 		}
-		this.probing = true;
-		long sentAt = this.loop.steadyMillis();
-		this.loop.then(this.store.read(Tables.TERM.table(), Tables.TERM.key(), 1, this.patience.timeout()), (read) -> {
-			this.probing = false;
-			if (read instanceof RowStore.Read.Found) {
-				this.patience.answered(this.loop.steadyMillis() - sentAt);
-			}
-			else if (this.patience.expectsSilence()) {
-				this.patience.silent();
-				this.loop.after(PROBE_PAUSE_MILLIS, this::probe);
-			}
-		});
-	}
-
-	private void learn(long sentAt, RowStore.Commit ending) {
-		if (ending instanceof RowStore.Commit.Unanswered) {
+		if (ending instanceof RowStore.Commit.Unanswered unanswered) {
 			this.patience.silent();
-			probe();
-		}
-		else if (!(ending instanceof RowStore.Commit.Refused)) {
-			this.patience.answered(this.loop.steadyMillis() - sentAt);
+			attempt.unsettled = true;
+			attempt.refused(IntakeRefusal.UNSETTLED, unanswered.why());
+			notTaken(attempt);
+			return;
 		}
+		this.patience.answered(this.loop.steadyMillis() - sentAt);
+		accepted(attempt, ending instanceof RowStore.Commit.Conflict);
+		writeWaiting(MOST_WRITES);
 	}
 
-	private void written(Attempt attempt, RowStore.Commit ending) {
-		if (ending instanceof RowStore.Commit.Committed || ending instanceof RowStore.Commit.Conflict) {
-			accepted(attempt, ending instanceof RowStore.Commit.Conflict);
-			return;
-		}
-		attempt.unsettled |= ending instanceof RowStore.Commit.Unanswered;
-		attempt.why = ending.toString();
+	// A job that was sent to a store that does not answer can no longer be refused. So
+	// where no answer is to be expected it is not sent, but asks another entry once and
+	// waits.
+	private void notTaken(Attempt attempt) {
 		if (attempt.mayAskPeer) {
 			attempt.mayAskPeer = false;
 			askPeer(attempt);
 			return;
 		}
-		if (attempt.atOnce || this.loop.steadyMillis() + REFUSED_PAUSE_MILLIS >= attempt.until
-				|| !attempt.mayTryAgain()) {
+		long until = this.policy.waitsUntil(attempt.arrivedMillis, attempt.patienceMillis, attempt.unsettled);
+		if (attempt.forPeer || this.loop.steadyMillis() >= until) {
 			giveUp(attempt);
 			return;
 		}
-		this.loop.after(REFUSED_PAUSE_MILLIS, () -> write(attempt));
+		int priority = this.priorityOf.applyAsInt(attempt.job.queue());
+		if (!this.line.add(priority, until, attempt)) {
+			attempt.refused(IntakeRefusal.TOO_MANY_WAIT, "");
+			giveUp(attempt);
+		}
+	}
+
+	private void lookAtLine() {
+		long now = this.loop.steadyMillis();
+		this.line.takeExpired(now).forEach(this::giveUp);
+		boolean retry = now >= this.nextRetry && this.writing == 0 && !this.patience.expectsSilence();
+		if (retry && this.line.size() > 0) {
+			this.nextRetry = now + RETRY_MILLIS;
+			writeWaiting(1);
+		}
+	}
+
+	// One job finds out whether a store that refused takes jobs again; the others follow
+	// as fast as it takes them.
+	private void writeWaiting(int most) {
+		while (this.writing < most) {
+			Optional<Attempt> next = this.line.takeFirst();
+			if (next.isEmpty()) {
+				return;
+			}
+			write(next.get());
+		}
 	}
 
 	// The store may turn away this entry and serve another one. Both write the same row
@@ -169,9 +232,9 @@
 			.map((row) -> row.address())
 			.filter(this.peers::connectedTo)
 			.or(() -> this.peers.anyOther(""));
-		long left = attempt.until - this.loop.steadyMillis();
+		long left = attempt.arrivedMillis + attempt.patienceMillis - this.loop.steadyMillis();
 		if (other.isEmpty() || left <= 0) {
-			written(attempt, new RowStore.Commit.Refused(attempt.why));
+			notTaken(attempt);
 			return;
 		}
 		byte[] body = attempt.text.getBytes(StandardCharsets.UTF_8);
@@ -183,15 +246,17 @@
 						return;
 					}
 					attempt.unsettled |= status != EntryCalls.UNAVAILABLE;
-					written(attempt, new RowStore.Commit.Refused(attempt.why));
+					notTaken(attempt);
 				});
 	}
 
 	private void accepted(Attempt attempt, boolean repeated) {
 		LOG.info("job-accepted", "job", attempt.job.id(), "queue", attempt.job.queue(), "customer",
-				attempt.job.customer(), "repeated", repeated);
+				attempt.job.customer(), "repeated", repeated, "afterMillis",
+				this.loop.steadyMillis() - attempt.arrivedMillis);
 		this.telemetry.count(repeated ? "jobs.repeated" : "jobs.accepted");
-		attempt.outcome.complete(Submission.ACCEPTED);
+		this.unsettled.remove(attempt.job.id());
+		attempt.outcome.complete(new Submission.Accepted());
 		if (this.holder.deciding()) {
 			this.holder.accepted(attempt.job);
 			return;
@@ -201,17 +266,24 @@
 	}
 
 	// What an earlier call left unsettled may still take effect, so a later call for the
-	// same job can't be told that it never runs.
+	// same job can't be refused either.
 	private void giveUp(Attempt attempt) {
+		long now = this.loop.steadyMillis();
+		Duration comeBack = this.policy.comeBackAfter(attempt.arrivedMillis + attempt.patienceMillis - now);
 		attempt.unsettled |= this.unsettled.contains(attempt.job.id());
+		IntakeRefusal why = attempt.unsettled ? IntakeRefusal.UNSETTLED : attempt.why;
+		this.telemetry.count(attempt.unsettled ? "jobs.unsettled" : "jobs.refused");
+		this.telemetry.count(REFUSED, why);
+		LOG.warn("job-not-accepted", "job", attempt.job.id(), "outcome", why, "why", attempt.detail, "waitedMillis",
+				now - attempt.arrivedMillis, "patienceMillis", attempt.patienceMillis, "comeBackMillis",
+				comeBack.toMillis());
 		if (attempt.unsettled) {
 			this.unsettled.add(attempt.job.id());
 			dropOldest(this.unsettled);
+			attempt.outcome.complete(new Submission.Unsettled(comeBack));
+			return;
 		}
-		Submission outcome = attempt.unsettled ? Submission.UNKNOWN : Submission.REFUSED;
-		this.telemetry.count(attempt.unsettled ? "jobs.unsettled" : "jobs.refused");
-		LOG.warn("job-not-accepted", "job", attempt.job.id(), "outcome", outcome, "why", attempt.why);
-		attempt.outcome.complete(outcome);
+		attempt.outcome.complete(new Submission.Refused(why, comeBack));
 	}
 
 	private static void dropOldest(Set<String> remembered) {
@@ -227,37 +299,42 @@
 	 */
 	private static final class Attempt {
 
-		private static final int MOST_WRITES = 6;
-
 		private final Workflow job;
 
 		private final String text;
 
-		private final long until;
+		private final long arrivedMillis;
+
+		private final long patienceMillis;
+
+		/** Whether it came to another entry, which waits for the store itself. */
+		private final boolean forPeer;
 
 		private final CompletableFuture<Submission> outcome;
 
 		private boolean mayAskPeer;
 
+		/** Whether it was sent to the store and may be kept. */
 		private boolean unsettled;
 
-		/** Whether nothing is to be expected of another try. */
-		private boolean atOnce;
-
-		private int writes;
+		private IntakeRefusal why = IntakeRefusal.STORE_SILENT;
 
-		private String why = "";
+		private String detail = "";
 
-		Attempt(Workflow job, String text, long until, boolean mayAskPeer, CompletableFuture<Submission> outcome) {
+		Attempt(Workflow job, long arrivedMillis, long patienceMillis, boolean forPeer,
+				CompletableFuture<Submission> outcome) {
 			this.job = job;
-			this.text = text;
-			this.until = until;
-			this.mayAskPeer = mayAskPeer;
+			this.text = RecordCodec.write(job);
+			this.arrivedMillis = arrivedMillis;
+			this.patienceMillis = patienceMillis;
+			this.forPeer = forPeer;
+			this.mayAskPeer = !forPeer;
 			this.outcome = outcome;
 		}
 
-		boolean mayTryAgain() {
-			return ++this.writes < MOST_WRITES;
+		void refused(IntakeRefusal reason, String said) {
+			this.why = reason;
+			this.detail = said;
 		}
 
 	}
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
@@ -123,6 +123,10 @@
 		feed(new TermEvent.HolderLost());
 	}
 
+	void storeAnswers() {
+		feed(new TermEvent.StoreAnswers());
+	}
+
 	void release() {
 		feed(new TermEvent.Release());
 	}
--- a/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -40,6 +41,9 @@
 
 	private static final long RESTART_MILLIS = 600;
 
+	/** The time that callers give, in milliseconds. */
+	private static final OptionalLong PATIENCE = OptionalLong.of(2_500);
+
 	private static final String TABLE = "op";
 
 	private static final String ZONE_OUT = "out/";
@@ -194,9 +198,9 @@
 			return;
 		}
 		this.checker.handedIn(job.id());
-		entry.entry.submit(job, 2_500).thenAccept((outcome) -> {
-			this.checker.answered(job.id(), outcome == Submission.REFUSED);
-			if (outcome == Submission.ACCEPTED) {
+		entry.entry.submit(job, PATIENCE).thenAccept((outcome) -> {
+			this.checker.answered(job.id(), outcome instanceof Submission.Refused);
+			if (outcome instanceof Submission.Accepted) {
 				this.accepted.add(job.id());
 				if (this.random.nextInt(10) == 0) {
 					this.time.after(3_000, () -> hand(job, 100));
@@ -291,7 +295,7 @@
 		}
 
 		CompletableFuture<Submission> submit(Workflow job) {
-			return this.entry.submit(job, 2_500);
+			return this.entry.submit(job, PATIENCE);
 		}
 
 		FleetConfiguration configuration() {
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SilentStoreTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SilentStoreTests.java
@@ -1,8 +1,10 @@
 package org.almondmount.fleet.sim;
 
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
 import org.almondmount.fleet.Submission;
+import org.almondmount.intake.IntakeRefusal;
 import org.almondmount.workflow.Workflow;
 import org.junit.jupiter.api.Test;
 
@@ -27,7 +29,7 @@
 		for (int i = 1; i < 9; i++) {
 			CompletableFuture<Submission> outcome = submit("a" + i);
 			this.world.runFor(1_000);
-			assertThat(outcome).isCompletedWithValue(Submission.REFUSED);
+			assertThat(outcome).isCompletedWithValueMatching(Submission.Refused.class::isInstance);
 		}
 	}
 
@@ -40,7 +42,45 @@
 		this.world.runFor(6_500);
 		CompletableFuture<Submission> outcome = submit("a1");
 		this.world.runFor(100);
-		assertThat(outcome).isCompletedWithValue(Submission.ACCEPTED);
+		assertThat(outcome).isCompletedWithValue(new Submission.Accepted());
+	}
+
+	// The first job was sent before anybody knew that the store is silent, so nobody can
+	// refuse it. Its caller gives 2.5 s and would spend all its tries within one, had it
+	// been told at once that nobody can tell. The store is back after 2 s.
+	@Test
+	void aJobThatWasSentIntoTheSilenceIsSettledWhileItsCallerWaits() {
+		this.world.runFor(4_000);
+		this.world.entries().forEach((entry) -> entry.cutFromStore(2_000));
+		CompletableFuture<Submission> outcome = submit("a0");
+		this.world.runFor(1_900);
+		assertThat(outcome).isNotCompleted();
+		this.world.runFor(500);
+		assertThat(outcome).isCompletedWithValue(new Submission.Accepted());
+	}
+
+	// A job that was sent nowhere waits for a third of its caller's time.
+	@Test
+	void aJobThatComesJustBeforeTheStoreIsBackIsAcceptedAtTheFirstTry() {
+		this.world.runFor(4_000);
+		this.world.entries().forEach((entry) -> entry.cutFromStore(3_000));
+		submit("a0");
+		this.world.runFor(2_500);
+		CompletableFuture<Submission> outcome = submit("a1");
+		this.world.runFor(790);
+		assertThat(outcome).isCompletedWithValue(new Submission.Accepted());
+	}
+
+	@Test
+	void aRefusedCallerHearsWhyAndWhenToComeBack() {
+		this.world.runFor(4_000);
+		this.world.entries().forEach((entry) -> entry.cutFromStore(60_000));
+		submit("a0");
+		this.world.runFor(3_000);
+		CompletableFuture<Submission> outcome = submit("a1");
+		this.world.runFor(1_000);
+		assertThat(outcome)
+			.isCompletedWithValue(new Submission.Refused(IntakeRefusal.STORE_SILENT, Duration.ofSeconds(1)));
 	}
 
 	private CompletableFuture<Submission> submit(String id) {
--- a/runtime/src/main/java/org/almondmount/http/impl/ConnectionPool.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/ConnectionPool.java
@@ -31,6 +31,13 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
 
+	/**
+	 * An attempt to connect that takes longer was probably lost, in milliseconds: a
+	 * network sends its first packet again only after a second. Calls that come later get
+	 * an attempt of their own, or a server that is back would go unnoticed for so long.
+	 */
+	private static final long USUAL_CONNECT_MILLIS = 300;
+
 	private final EventLoop loop;
 
 	private final InetSocketAddress server;
@@ -45,7 +52,8 @@
 
 	private final Set<Channel> open = new HashSet<>();
 
-	private int connecting;
+	/** Attempts to connect by the time at which each began, the oldest first. */
+	private final Deque<Long> connecting = new ArrayDeque<>();
 
 	ConnectionPool(EventLoop loop, InetSocketAddress server, int maxConnections, int maxAnswerBytes) {
 		this.loop = loop;
@@ -102,11 +110,17 @@
 			send(this.waiting.poll(), channel);
 			dropDone();
 		}
-		while (this.waiting.size() > this.connecting && this.open.size() + this.connecting < this.maxConnections) {
+		while (this.waiting.size() > promisingAttempts()
+				&& this.open.size() + this.connecting.size() < this.maxConnections) {
 			connect();
 		}
 	}
 
+	private long promisingAttempts() {
+		long since = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(USUAL_CONNECT_MILLIS);
+		return this.connecting.stream().filter((began) -> began - since >= 0).count();
+	}
+
 	private void dropDone() {
 		this.waiting.removeIf(ClientCall::isDone);
 	}
@@ -139,7 +153,8 @@
 	}
 
 	private void connect() {
-		this.connecting++;
+		Long began = System.nanoTime();
+		this.connecting.add(began);
 		ChannelFuture connected = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
@@ -147,7 +162,7 @@
 			.handler(new Setup())
 			.connect(this.server);
 		connected.addListener((done) -> {
-			this.connecting--;
+			this.connecting.removeFirstOccurrence(began);
 			if (done.isSuccess()) {
 				opened(connected.channel());
 			}
