--- a/core/src/main/java/org/almondmount/intake/IntakeLine.java
+++ b/core/src/main/java/org/almondmount/intake/IntakeLine.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Jobs that wait for the store, the urgent ones first and the oldest first among alike.
@@ -51,11 +52,18 @@
 	}
 
 	/**
-	 * Takes the first one out.
-	 * @return the first, or empty where nothing waits
+	 * Takes the first one out that is ready.
+	 * @param ready whether something may go on now
+	 * @return the first, or empty where nothing that waits is ready
 	 */
-	public Optional<T> takeFirst() {
-		return Optional.ofNullable(this.places.pollFirst()).map(Place::waiting);
+	public Optional<T> takeFirst(Predicate<T> ready) {
+		for (Place<T> place : this.places) {
+			if (ready.test(place.waiting())) {
+				this.places.remove(place);
+				return Optional.of(place.waiting());
+			}
+		}
+		return Optional.empty();
 	}
 
 	/**
--- a/core/src/test/java/org/almondmount/intake/IntakeLineTests.java
+++ b/core/src/test/java/org/almondmount/intake/IntakeLineTests.java
@@ -13,10 +13,18 @@
 		this.line.add(2, 100, "old");
 		this.line.add(0, 100, "urgent");
 		this.line.add(2, 50, "new");
-		assertThat(this.line.takeFirst()).contains("urgent");
-		assertThat(this.line.takeFirst()).contains("old");
-		assertThat(this.line.takeFirst()).contains("new");
-		assertThat(this.line.takeFirst()).isEmpty();
+		assertThat(this.line.takeFirst((one) -> true)).contains("urgent");
+		assertThat(this.line.takeFirst((one) -> true)).contains("old");
+		assertThat(this.line.takeFirst((one) -> true)).contains("new");
+		assertThat(this.line.takeFirst((one) -> true)).isEmpty();
+	}
+
+	@Test
+	void whatIsNotReadyStaysInItsPlace() {
+		this.line.add(0, 100, "first");
+		this.line.add(1, 100, "second");
+		assertThat(this.line.takeFirst((one) -> one.equals("second"))).contains("second");
+		assertThat(this.line.takeFirst((one) -> true)).contains("first");
 	}
 
 	@Test
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -1,11 +1,13 @@
 package org.almondmount.fleet.entry;
 
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import org.almondmount.fleet.Addresses;
@@ -98,6 +100,9 @@
 
 	private final CompletableFuture<Void> released = new CompletableFuture<>();
 
+	/** Calls that wait for the first configuration. */
+	private final Set<CompletableFuture<Boolean>> awaiting = new LinkedHashSet<>();
+
 	private volatile FleetConfiguration configuration = FleetConfiguration.NONE;
 
 	private volatile WireEndpoint.Listening listening;
@@ -166,6 +171,23 @@
 		return this.configuration;
 	}
 
+	/**
+	 * Waits until this entry knows what operators declared: an entry that has just
+	 * started reads it within about a third of a second, and a caller that was refused
+	 * meanwhile would have lost one of its few tries.
+	 * @param patience the time that a caller gives, empty where it does not say
+	 * @return whether it is known
+	 */
+	public CompletableFuture<Boolean> configured(OptionalLong patience) {
+		CompletableFuture<Boolean> outcome = new CompletableFuture<>();
+		long millis = patience.orElse(IntakePolicy.DEFAULT.usualPatienceMillis());
+		boolean taken = this.loop.run(() -> awaitConfiguration(millis, outcome));
+		if (!taken) {
+			outcome.complete(false);
+		}
+		return outcome;
+	}
+
 	/**
 	 * Accepts a job.
 	 * @param job the job
@@ -302,8 +324,28 @@
 		this.peers.broadcast(new Message.EntryHeartbeat(this.turn, this.declared.version(), epoch, false));
 	}
 
+	private void awaitConfiguration(long patienceMillis, CompletableFuture<Boolean> outcome) {
+		if (this.configuration.revision() != 0) {
+			outcome.complete(true);
+			return;
+		}
+		if (this.awaiting.size() >= IntakePolicy.DEFAULT.mostWaiting()) {
+			outcome.complete(false);
+			return;
+		}
+		this.awaiting.add(outcome);
+		this.loop.after(IntakePolicy.DEFAULT.waitsUntil(0, patienceMillis, false), () -> {
+			this.awaiting.remove(outcome);
+			outcome.complete(false);
+		});
+	}
+
 	private void inForce(DeclaredState state) {
 		this.configuration = state.configuration();
+		if (this.configuration.revision() != 0) {
+			this.awaiting.forEach((outcome) -> outcome.complete(true));
+			this.awaiting.clear();
+		}
 		this.holder.declared(state.configuration(), state.zonesOut());
 	}
 
--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
@@ -42,6 +42,9 @@
 	/** Jobs that were not accepted, by reason. */
 	private static final String REFUSED = "intake";
 
+	/** No caller is known to wait longer for its job to be accepted. */
+	private static final Duration LONGEST_WRITE = Duration.ofSeconds(3);
+
 	/** How often the line is looked at, in milliseconds. */
 	private static final long LINE_MILLIS = 50;
 
@@ -153,39 +156,68 @@
 		return outcome;
 	}
 
+	// A lost answer is found out only by waiting, so a copy is sent after a while. But a
+	// store that has become slow answers the first copy later than that, and takes the
+	// longer the more copies it is sent: so each copy is waited for to the end, the first
+	// answer counts, and the next copy waits until the store has answered something else.
 	private void write(Attempt attempt) {
 		Place place = Tables.job(attempt.job.id());
 		long sentAt = this.loop.steadyMillis();
+		int copy = attempt.sendCopy(sentAt);
 		this.writing++;
+		this.loop.after(this.patience.timeout().toMillis(), () -> overdue(attempt, copy, sentAt));
 		this.loop.then(this.store.commit(List.of(new Condition(place, 0)),
-				List.of(new Write(place, Optional.of(attempt.text))), this.patience.timeout()), (ending) -> {
-					this.writing--;
-					written(attempt, sentAt, ending);
+				List.of(new Write(place, Optional.of(attempt.text))), LONGEST_WRITE), (ending) -> {
+					boolean current = noLongerCurrent(attempt, copy);
+					attempt.copiesOut--;
+					written(attempt, sentAt, ending, current);
 				});
 	}
 
-	private void written(Attempt attempt, long sentAt, RowStore.Commit ending) {
-		if (ending instanceof RowStore.Commit.Refused refused) {
+	private void overdue(Attempt attempt, int copy, long sentAt) {
+		if (noLongerCurrent(attempt, copy)) {
+			unanswered(attempt, "no answer yet after " + (this.loop.steadyMillis() - sentAt) + " ms");
+		}
+	}
+
+	private boolean noLongerCurrent(Attempt attempt, int copy) {
+		if (attempt.currentCopy != copy) {
+			return false;
+		}
+		attempt.currentCopy = Attempt.NO_COPY;
+		this.writing--;
+		return true;
+	}
+
+	private void written(Attempt attempt, long sentAt, RowStore.Commit ending, boolean current) {
+		if (ending instanceof RowStore.Commit.Committed || ending instanceof RowStore.Commit.Conflict) {
+			this.patience.answered(this.loop.steadyMillis() - sentAt);
+			accepted(attempt, ending instanceof RowStore.Commit.Conflict);
+			writeWaiting(MOST_WRITES);
+		}
+		else if (current && ending instanceof RowStore.Commit.Refused refused) {
 			attempt.refused(IntakeRefusal.STORE_TURNS_AWAY, refused.why());
 			notTaken(attempt);
-			return;
 		}
-		if (ending instanceof RowStore.Commit.Unanswered unanswered) {
-			this.patience.silent();
-			attempt.unsettled = true;
-			attempt.refused(IntakeRefusal.UNSETTLED, unanswered.why());
-			notTaken(attempt);
-			return;
+		else if (current && ending instanceof RowStore.Commit.Unanswered unanswered) {
+			unanswered(attempt, unanswered.why());
 		}
-		this.patience.answered(this.loop.steadyMillis() - sentAt);
-		accepted(attempt, ending instanceof RowStore.Commit.Conflict);
-		writeWaiting(MOST_WRITES);
+	}
+
+	private void unanswered(Attempt attempt, String why) {
+		this.patience.silent();
+		attempt.unsettled = true;
+		attempt.refused(IntakeRefusal.UNSETTLED, why);
+		notTaken(attempt);
 	}
 
 	// A job that was sent to a store that does not answer can no longer be refused. So
 	// where no answer is to be expected it is not sent, but asks another entry once and
 	// waits.
 	private void notTaken(Attempt attempt) {
+		if (attempt.accepted) {
+			return;
+		}
 		if (attempt.mayAskPeer) {
 			attempt.mayAskPeer = false;
 			askPeer(attempt);
@@ -217,14 +249,26 @@
 	// as fast as it takes them.
 	private void writeWaiting(int most) {
 		while (this.writing < most) {
-			Optional<Attempt> next = this.line.takeFirst();
+			Optional<Attempt> next = this.line.takeFirst(this::mayBeWritten);
 			if (next.isEmpty()) {
 				return;
 			}
-			write(next.get());
+			if (!next.get().accepted) {
+				write(next.get());
+			}
 		}
 	}
 
+	// A lost answer is found out only by waiting, so a copy is sent after a while. But a
+	// store that has become slow answers the first copy later than that, and takes the
+	// longer the more copies it is sent: so each copy is waited for, the first answer
+	// counts, and the next copy leaves when the last one is late by what was learnt
+	// since.
+	private boolean mayBeWritten(Attempt attempt) {
+		long since = this.loop.steadyMillis() - attempt.lastCopyAt;
+		return attempt.copiesOut == 0 || since >= this.patience.timeout().toMillis();
+	}
+
 	// The store may turn away this entry and serve another one. Both write the same row
 	// on the condition that it is not there, so it does not matter whose write is first.
 	private void askPeer(Attempt attempt) {
@@ -251,6 +295,10 @@
 	}
 
 	private void accepted(Attempt attempt, boolean repeated) {
+		if (attempt.accepted) {
+			return;
+		}
+		attempt.accepted = true;
 		LOG.info("job-accepted", "job", attempt.job.id(), "queue", attempt.job.queue(), "customer",
 				attempt.job.customer(), "repeated", repeated, "afterMillis",
 				this.loop.steadyMillis() - attempt.arrivedMillis);
@@ -268,6 +316,9 @@
 	// What an earlier call left unsettled may still take effect, so a later call for the
 	// same job can't be refused either.
 	private void giveUp(Attempt attempt) {
+		if (attempt.accepted) {
+			return;
+		}
 		long now = this.loop.steadyMillis();
 		Duration comeBack = this.policy.comeBackAfter(attempt.arrivedMillis + attempt.patienceMillis - now);
 		attempt.unsettled |= this.unsettled.contains(attempt.job.id());
@@ -299,6 +350,8 @@
 	 */
 	private static final class Attempt {
 
+		private static final int NO_COPY = 0;
+
 		private final Workflow job;
 
 		private final String text;
@@ -314,6 +367,18 @@
 
 		private boolean mayAskPeer;
 
+		private boolean accepted;
+
+		private int copies;
+
+		/** Copies of its write that were not answered. */
+		private int copiesOut;
+
+		/** The copy that is not overdue yet. */
+		private int currentCopy = NO_COPY;
+
+		private long lastCopyAt;
+
 		/** Whether it was sent to the store and may be kept. */
 		private boolean unsettled;
 
@@ -332,6 +397,13 @@
 			this.outcome = outcome;
 		}
 
+		int sendCopy(long now) {
+			this.lastCopyAt = now;
+			this.copiesOut++;
+			this.currentCopy = ++this.copies;
+			return this.currentCopy;
+		}
+
 		void refused(IntakeRefusal reason, String said) {
 			this.why = reason;
 			this.detail = said;
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SimStore.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimStore.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
@@ -28,6 +30,8 @@
 
 	private final TreeMap<String, RowStore.Row> rows = new TreeMap<>();
 
+	private final Map<String, Long> commits = new HashMap<>();
+
 	private long version;
 
 	/** Share of commits whose answer is lost; half of those are carried out late. */
@@ -63,6 +67,15 @@
 		write(new RowStore.Write(new RowStore.Place(table, key), Optional.ofNullable(value)));
 	}
 
+	/**
+	 * How many commits were sent with a write to a table.
+	 * @param table the table
+	 * @return a count
+	 */
+	long commitsTo(String table) {
+		return this.commits.getOrDefault(table, 0L);
+	}
+
 	long rowsOf(String table) {
 		return this.rows.values()
 			.stream()
@@ -124,6 +137,7 @@
 		@Override
 		public CompletableFuture<Commit> commit(List<Condition> conditions, List<Write> writes, Duration timeout) {
 			CompletableFuture<Commit> answer = new CompletableFuture<>();
+			writes.forEach((write) -> SimStore.this.commits.merge(write.place().table(), 1L, Long::sum));
 			if (this.cut) {
 				SimStore.this.time.after(timeout.toMillis(), () -> answer.complete(new Commit.Unanswered("cut")));
 				return answer;
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SlowStoreTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SlowStoreTests.java
@@ -1,5 +1,6 @@
 package org.almondmount.fleet.sim;
 
+import org.almondmount.fleet.Tables;
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.Workflow;
 import org.junit.jupiter.api.Test;
@@ -30,4 +31,21 @@
 		assertThat(world.seen()).containsEntry(job.id(), JobPhase.COMPLETED);
 	}
 
+	// Callers give some seconds. A write that is given up and sent again before its
+	// answer
+	// comes makes a slow store slower, and the caller never hears of the one that took
+	// effect. So the first answer to any copy counts, and few copies are sent.
+	@Test
+	void aJobIsAcceptedAsSoonAsTheSlowStoreAnswersItsFirstWrite() {
+		FleetWorld world = new FleetWorld(5, 3, 5);
+		world.runFor(3_000);
+		world.store().slow(TIMES);
+		world.runFor(200);
+		long before = world.store().commitsTo(Tables.INTAKE);
+		world.submit(world.smallJob("00000000000000aa"), 500, false);
+		world.runFor(1_000);
+		assertThat(world.accepted()).containsExactly("00000000000000aa");
+		assertThat(world.store().commitsTo(Tables.INTAKE) - before).isLessThanOrEqualTo(3);
+	}
+
 }
--- a/runtime/src/main/java/org/almondmount/http/impl/NettyHttpServer.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/NettyHttpServer.java
@@ -1,6 +1,9 @@
 package org.almondmount.http.impl;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -79,6 +82,39 @@
 		return new NettyHttpServer(io, limits, handler, telemetry).bind(address);
 	}
 
+	/**
+	 * Begins to listen before anything of a server is made. Connections that come
+	 * meanwhile wait to be accepted.
+	 * <p>
+	 * A process takes most of a second to start. Callers that connect in that time would
+	 * be turned away, and each time is one of their few tries; 0.8 s after a loss of
+	 * power a caller with three seconds had none left.
+	 * @param address where to listen
+	 * @return the listening socket, for
+	 * {@link #start(IoThreads, ServerSocketChannel, HttpLimits, HttpHandler, Telemetry)}
+	 * @throws IOException where the address can't be bound
+	 */
+	public static ServerSocketChannel listenEarly(InetSocketAddress address) throws IOException {
+		ServerSocketChannel socket = ServerSocketChannel.open();
+		socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+		return socket.bind(address, BACKLOG);
+	}
+
+	/**
+	 * Starts a server on a socket that listens already.
+	 * @param io the threads that it uses
+	 * @param socket the socket
+	 * @param limits its bounds
+	 * @param handler takes the calls
+	 * @param telemetry counts the connections that it cuts
+	 * @return the server once it accepts connections
+	 */
+	public static CompletableFuture<HttpServer> start(IoThreads io, ServerSocketChannel socket, HttpLimits limits,
+			HttpHandler handler, Telemetry telemetry) {
+		NettyHttpServer server = new NettyHttpServer(io, limits, handler, telemetry);
+		return server.started(server.bootstrap().channelFactory(() -> new NioServerSocketChannel(socket)).register());
+	}
+
 	@Override
 	public InetSocketAddress address() {
 		return (InetSocketAddress) this.listener.localAddress();
@@ -127,14 +163,20 @@
 	}
 
 	private CompletableFuture<HttpServer> bind(InetSocketAddress address) {
-		CompletableFuture<HttpServer> bound = new CompletableFuture<>();
-		ServerBootstrap bootstrap = new ServerBootstrap().group(this.io.group())
-			.channel(NioServerSocketChannel.class)
+		return started(bootstrap().channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
+			.bind(address));
+	}
+
+	private ServerBootstrap bootstrap() {
+		return new ServerBootstrap().group(this.io.group())
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childHandler(new Connections());
-		ChannelFuture binding = bootstrap.bind(address);
+	}
+
+	private CompletableFuture<HttpServer> started(ChannelFuture binding) {
+		CompletableFuture<HttpServer> bound = new CompletableFuture<>();
 		binding.addListener((done) -> {
 			if (!done.isSuccess()) {
 				bound.completeExceptionally(done.cause());
--- a/runtime/src/test/java/org/almondmount/http/impl/NettyHttpServerTests.java
+++ b/runtime/src/test/java/org/almondmount/http/impl/NettyHttpServerTests.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -57,6 +58,23 @@
 		}
 	}
 
+	// A process that restarts takes a while until its server is made. A caller that
+	// connects and sends its call meanwhile is answered, not turned away.
+	@Test
+	void aCallerThatConnectsBeforeTheServerIsMadeIsAnswered() throws Exception {
+		ServerSocketChannel early = NettyHttpServer.listenEarly(new InetSocketAddress("127.0.0.1", 0));
+		InetSocketAddress address = (InetSocketAddress) early.getLocalAddress();
+		try (Socket caller = new Socket(address.getAddress(), address.getPort())) {
+			caller.setSoTimeout(5_000);
+			send(caller, "GET /one HTTP/1.1\r\nhost: a\r\n\r\n");
+			this.server = NettyHttpServer.start(this.io, early, LIMITS, this.taken::add, this.telemetry).get();
+			Awaitility.await().until(() -> this.taken.size() == 1);
+			this.taken.get(0).answer(text("first"));
+			assertThat(readUntil(caller, "first")).startsWith("HTTP/1.1 200");
+			assertThat(this.server.address()).isEqualTo(address);
+		}
+	}
+
 	@Test
 	void junkIsRefusedAndTheConnectionEnds() throws IOException {
 		start(this.taken::add);
