--- a/core/src/main/java/org/almondmount/intake/IntakePolicy.java
+++ b/core/src/main/java/org/almondmount/intake/IntakePolicy.java
@@ -10,24 +10,27 @@
  * few tries. Refused at once they spend their tries on a store that is away, the last one
  * a moment before it is back; held until their time is over they can't go elsewhere. So a
  * job waits for a part of its caller's time, and the caller keeps the greater part for
- * other entries.
+ * other entries. Only where what would be left is too short for another try does it wait
+ * to the end: refused then, the caller would be lost for certain.
  *
  * @param waitShare part of a caller's time for which a job that was sent nowhere waits
+ * @param lastTryMillis a caller with no more time left than that makes its last try
  * @param mostWaiting jobs that wait at once; more would be written so late after the
  * store's return that their callers are gone
  * @param usualPatienceMillis a caller's time where it does not say
  * @param wayBackMillis kept back of a caller's time for the way of the answer
- * @param comeBackMillis when a refused caller may come back
+ * @param comeBackMillis when a caller may come back that can't wait here
  */
-public record IntakePolicy(double waitShare, int mostWaiting, long usualPatienceMillis, long wayBackMillis,
-		long comeBackMillis) {
+public record IntakePolicy(double waitShare, long lastTryMillis, int mostWaiting, long usualPatienceMillis,
+		long wayBackMillis, long comeBackMillis) {
 
 	/**
-	 * A third of the time leaves a caller with three seconds two more tries elsewhere.
-	 * The store takes about 200 jobs a second, so 400 are kept within two seconds of its
-	 * return.
+	 * A third of the time leaves a caller with three seconds two more tries elsewhere,
+	 * the last of them with half of its time. The store takes about 200 jobs a second, so
+	 * 400 are kept within two seconds of its return. An answer is back within a few
+	 * milliseconds, on a busy VM within 80.
 	 */
-	public static final IntakePolicy DEFAULT = new IntakePolicy(1.0 / 3, 400, 3_000, 150, 1_000);
+	public static final IntakePolicy DEFAULT = new IntakePolicy(1.0 / 3, 1_500, 400, 3_000, 80, 1_000);
 
 	public IntakePolicy {
 		if (waitShare < 0 || waitShare > 1) {
@@ -45,19 +48,21 @@
 	 */
 	public long waitsUntil(long arrivedMillis, long patienceMillis, boolean mayBeKept) {
 		long answerable = Math.max(0, patienceMillis - this.wayBackMillis);
-		return arrivedMillis
-				+ (mayBeKept ? answerable : Math.min(answerable, (long) (patienceMillis * this.waitShare)));
+		boolean toTheEnd = mayBeKept || patienceMillis <= this.lastTryMillis;
+		return arrivedMillis + (toTheEnd ? answerable : Math.min(answerable, (long) (patienceMillis * this.waitShare)));
 	}
 
 	/**
-	 * When a caller may come back. A caller whose time would be over by then is told to
-	 * come at once: the next entry lets it wait again.
+	 * When a caller may come back. One that waited here does so at once: the next entry
+	 * lets it wait again, so that it is in line when the store returns. One that found no
+	 * place in the line comes later, unless its time would be over by then.
+	 * @param why why it is refused
 	 * @param patienceLeftMillis what is left of its time
 	 * @return the time from now
 	 */
-	public Duration comeBackAfter(long patienceLeftMillis) {
+	public Duration comeBackAfter(IntakeRefusal why, long patienceLeftMillis) {
 		boolean inTime = this.comeBackMillis + this.wayBackMillis < patienceLeftMillis;
-		return inTime ? Duration.ofMillis(this.comeBackMillis) : Duration.ZERO;
+		return (inTime && !why.waited()) ? Duration.ofMillis(this.comeBackMillis) : Duration.ZERO;
 	}
 
 }
--- a/core/src/main/java/org/almondmount/intake/IntakeRefusal.java
+++ b/core/src/main/java/org/almondmount/intake/IntakeRefusal.java
@@ -6,24 +6,36 @@
 public enum IntakeRefusal {
 
 	/** The store answers nobody here. */
-	STORE_SILENT("the store does not answer; hand the job in again after the time to come back"),
+	STORE_SILENT("the store does not answer; hand the job in again after the time to come back", true),
 
 	/** The store answers, and takes nothing from this entry. */
-	STORE_TURNS_AWAY("the store takes nothing from this entry; hand the job in again, it may reach another entry"),
+	STORE_TURNS_AWAY("the store takes nothing from this entry; hand the job in again, it may reach another entry",
+			true),
 
 	/** More jobs wait for the store than this entry keeps. */
-	TOO_MANY_WAIT("too many jobs wait for the store here; hand the job in again after the time to come back"),
+	TOO_MANY_WAIT("too many jobs wait for the store here; hand the job in again after the time to come back", false),
 
 	/** This entry ends or has too much to do. */
-	BUSY("this entry takes no more work; hand the job in again, it may reach another entry"),
+	BUSY("this entry takes no more work; hand the job in again, it may reach another entry", false),
 
 	/** The job was sent to the store, and no answer came. */
-	UNSETTLED("nobody can tell whether the job was accepted; hand the same job in again to settle it");
+	UNSETTLED("nobody can tell whether the job was accepted; hand the same job in again to settle it", true);
 
 	private final String remedy;
 
-	IntakeRefusal(String remedy) {
+	private final boolean waited;
+
+	IntakeRefusal(String remedy, boolean waited) {
 		this.remedy = remedy;
+		this.waited = waited;
+	}
+
+	/**
+	 * Whether its caller waited in the line before it was refused.
+	 * @return whether it did
+	 */
+	public boolean waited() {
+		return this.waited;
 	}
 
 	/**
--- a/fleet/src/main/java/org/almondmount/fleet/entry/DeclaredState.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/DeclaredState.java
@@ -53,6 +53,8 @@
 
 	private final Consumer<DeclaredState> listener;
 
+	private final Runnable regained;
+
 	private final Map<String, Row> rows = new HashMap<>();
 
 	private FleetConfiguration configuration = FleetConfiguration.NONE;
@@ -65,7 +67,17 @@
 
 	private boolean reachable = true;
 
-	DeclaredState(RowStore store, DeclarationReader reader, Loop loop, Consumer<DeclaredState> listener) {
+	/**
+	 * Makes a state that knows nothing before {@link #start()}.
+	 * @param store where operators declare
+	 * @param reader reads what they declare
+	 * @param loop the thread
+	 * @param listener hears of each change
+	 * @param regained called when the store answers again
+	 */
+	DeclaredState(RowStore store, DeclarationReader reader, Loop loop, Consumer<DeclaredState> listener,
+			Runnable regained) {
+		this.regained = regained;
 		this.store = store;
 		this.reader = reader;
 		this.loop = loop;
@@ -206,6 +218,7 @@
 		if (!this.reachable) {
 			this.reachable = true;
 			LOG.info("dependency-regained", "what", "store-feed");
+			this.regained.run();
 		}
 	}
 
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -141,8 +141,8 @@
 		this.intake = new JobIntake(store, this.loop, this.patience, telemetry, this.holder, this.term, this.peers,
 				calls, this::priorityOf);
 		this.desk = new FrontDesk(store, this.loop, this.patience, this.holder, calls, this.intake);
-		this.declared = new DeclaredState(store, reader, this.loop, this::inForce);
 		this.probe = new StoreProbe(store, this.loop, this.patience);
+		this.declared = new DeclaredState(store, reader, this.loop, this::inForce, this.probe::ask);
 		this.probe.whenAnswering(this.term::storeAnswers);
 		this.probe.whenAnswering(this.intake::storeAnswers);
 		telemetry.gauge("term.epoch", this.term::epoch);
@@ -199,7 +199,8 @@
 		long millis = patience.orElse(IntakePolicy.DEFAULT.usualPatienceMillis());
 		boolean taken = this.loop.run(() -> this.intake.submit(job, millis).thenAccept(outcome::complete));
 		if (!taken) {
-			outcome.complete(new Submission.Refused(IntakeRefusal.BUSY, IntakePolicy.DEFAULT.comeBackAfter(millis)));
+			outcome.complete(new Submission.Refused(IntakeRefusal.BUSY,
+					IntakePolicy.DEFAULT.comeBackAfter(IntakeRefusal.BUSY, millis)));
 		}
 		return outcome;
 	}
--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
@@ -320,9 +320,10 @@
 			return;
 		}
 		long now = this.loop.steadyMillis();
-		Duration comeBack = this.policy.comeBackAfter(attempt.arrivedMillis + attempt.patienceMillis - now);
 		attempt.unsettled |= this.unsettled.contains(attempt.job.id());
 		IntakeRefusal why = attempt.unsettled ? IntakeRefusal.UNSETTLED : attempt.why;
+		long left = attempt.arrivedMillis + attempt.patienceMillis - now;
+		Duration comeBack = this.policy.comeBackAfter(why, left);
 		this.telemetry.count(attempt.unsettled ? "jobs.unsettled" : "jobs.refused");
 		this.telemetry.count(REFUSED, why);
 		LOG.warn("job-not-accepted", "job", attempt.job.id(), "outcome", why, "why", attempt.detail, "waitedMillis",
--- a/fleet/src/main/java/org/almondmount/fleet/entry/StoreProbe.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/StoreProbe.java
@@ -49,7 +49,8 @@
 		this.loop.every(PAUSE_MILLIS, this::ask);
 	}
 
-	private void ask() {
+	/** Asks at once: something else was answered. */
+	void ask() {
 		if (!this.patience.expectsSilence()) {
 			if (this.asking) {
 				answering();
