--- a/core/src/main/java/org/almondmount/workflow/impl/Preemption.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Preemption.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -13,19 +14,15 @@
 import org.almondmount.workflow.ResourceAmount;
 
 /**
- * Chooses what has to give way to a unit of a customer's guarantee. Stateless.
+ * Chooses what has to give way to a unit that finds no room. Stateless.
  * <p>
- * Of all racks that could hold the unit, the one is chosen where the least work is thrown
- * away: core-seconds since the last checkpoint, of the whole gang where a member gives
- * way.
+ * It answers bursts of urgent jobs that find the fleet full of work that has time. Of all
+ * racks and workers that could hold the unit, those are chosen where the least work is
+ * thrown away, as {@link RunWork#lossIfStopped} tells, and no run is stopped whose room
+ * is not needed in the end.
  */
 final class Preemption {
 
-	private static final double MILLIS = 1_000.0;
-
-	/** Work since the last checkpoint is at most about this old, in seconds. */
-	private static final double CHECKPOINTED_SECONDS = 1;
-
 	private final Placer placer;
 
 	Preemption(Placer placer) {
@@ -75,13 +72,15 @@
 			}
 		}
 		List<Worker> cheapFirst = new ArrayList<>(workers);
-		cheapFirst.sort(Comparator.comparingDouble((worker) -> costOfAll(now, worker, mayGiveWay)));
+		Map<Worker, Double> costs = new HashMap<>();
+		workers.forEach((worker) -> costs.put(worker, costOfATask(now, unit, worker, room.get(), mayGiveWay)));
+		cheapFirst.sort(Comparator.comparingDouble(costs::get));
 		Optional<Map<TaskState, Worker>> placement = Placer.fillInOrder(unit, cheapFirst, rooms);
 		if (placement.isEmpty()) {
 			return Optional.empty();
 		}
 		Set<Run> victims = victims(now, unit, placement.get(), room.get(), mayGiveWay);
-		double cost = victims.stream().mapToDouble((run) -> cost(now, run)).sum();
+		double cost = victims.stream().mapToDouble((run) -> RunWork.lossIfStopped(run, now)).sum();
 		return Optional.of(new Plan(placement.get(), victims, cost));
 	}
 
@@ -91,26 +90,63 @@
 		for (Worker worker : new LinkedHashSet<>(placement.values())) {
 			long here = placement.values().stream().filter(worker::equals).count();
 			ResourceAmount wanted = unit.room().times(here);
-			ResourceAmount room = rooms.free(worker);
-			for (Run run : worker.runs()) {
-				room = (run.stopping() || victims.contains(run)) ? room.plus(run.room()) : room;
+			victims.addAll(withWholeGangs(victimsOn(now, worker, wanted, rooms.free(worker), victims, mayGiveWay)));
+		}
+		return victims;
+	}
+
+	// Cheap runs first; then whatever turned out not to be needed is spared, the dearest
+	// first: a large run that gives way at last often makes room for all the small ones.
+	private static List<Run> victimsOn(long now, Worker worker, ResourceAmount wanted, ResourceAmount free,
+			Set<Run> given, Predicate<Run> mayGiveWay) {
+		ResourceAmount room = free;
+		List<Run> candidates = new ArrayList<>();
+		for (Run run : worker.runs()) {
+			if (run.stopping() || given.contains(run)) {
+				room = room.plus(run.room());
 			}
-			List<Run> candidates = new ArrayList<>(
-					worker.runs().stream().filter((run) -> !run.stopping()).filter(mayGiveWay).toList());
-			candidates.sort(Comparator.comparingDouble((run) -> cost(now, run)));
-			for (Run run : candidates) {
-				if (wanted.fitsIn(room)) {
-					break;
-				}
-				if (victims.add(run)) {
-					room = room.plus(run.room());
-				}
+			else if (mayGiveWay.test(run)) {
+				candidates.add(run);
+			}
+		}
+		candidates.sort(Comparator.comparingDouble((run) -> lossOfWholeGang(run, now)));
+		List<Run> chosen = new ArrayList<>();
+		for (Run run : candidates) {
+			if (wanted.fitsIn(room)) {
+				break;
+			}
+			chosen.add(run);
+			room = room.plus(run.room());
+		}
+		for (int i = chosen.size() - 1; i >= 0; i--) {
+			ResourceAmount without = room.minus(chosen.get(i).room());
+			if (wanted.fitsIn(without)) {
+				room = without;
+				chosen.remove(i);
 			}
 		}
-		return withWholeGangs(victims);
+		return chosen;
 	}
 
-	private static Set<Run> withWholeGangs(Set<Run> victims) {
+	// What one task of the unit costs on a worker that is filled with as many as go
+	// there.
+	private static double costOfATask(long now, WorkUnit unit, Worker worker, Rooms rooms, Predicate<Run> mayGiveWay) {
+		ResourceAmount most = rooms.free(worker);
+		for (Run run : worker.runs()) {
+			most = (run.stopping() || mayGiveWay.test(run)) ? most.plus(run.room()) : most;
+		}
+		long tasks = Math.min(unit.tasks().size(), most.holds(unit.room()));
+		if (tasks == 0) {
+			return Double.MAX_VALUE;
+		}
+		double cost = 0;
+		for (Run run : victimsOn(now, worker, unit.room().times(tasks), rooms.free(worker), Set.of(), mayGiveWay)) {
+			cost += lossOfWholeGang(run, now);
+		}
+		return cost / tasks;
+	}
+
+	private static Set<Run> withWholeGangs(List<Run> victims) {
 		Set<Run> whole = new LinkedHashSet<>(victims);
 		for (Run victim : victims) {
 			if (victim.task().step().spec().gang()) {
@@ -120,22 +156,12 @@
 		return whole;
 	}
 
-	private double costOfAll(long now, Worker worker, Predicate<Run> mayGiveWay) {
-		double cost = 0;
-		for (Run run : worker.runs()) {
-			cost += mayGiveWay.test(run) ? cost(now, run) : 0;
-		}
-		return cost;
-	}
-
-	private static double cost(long now, Run run) {
-		double seconds = run.running() ? Math.max(0, now - run.startedMillis()) / MILLIS : 0;
-		StepState step = run.task().step();
-		if (step.spec().checkpoints()) {
-			seconds = Math.min(seconds, CHECKPOINTED_SECONDS);
+	private static double lossOfWholeGang(Run run, long now) {
+		double loss = 0;
+		for (Run member : withWholeGangs(List.of(run))) {
+			loss += RunWork.lossIfStopped(member, now);
 		}
-		int members = step.spec().gang() ? step.tasks().size() : 1;
-		return (seconds + 1) * run.room().coreEquivalents() * members;
+		return loss;
 	}
 
 	/**
--- a/core/src/main/java/org/almondmount/workflow/impl/RunWork.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunWork.java
@@ -20,6 +20,15 @@
 
 	private static final double MILLIS = 1_000.0;
 
+	/**
+	 * What a task that saves its progress loses by a stop, in milliseconds: it saves when
+	 * it is stopped, and takes about that long to go on from there.
+	 */
+	private static final long RESTORE_MILLIS = 600;
+
+	/** Two orders and their way, in milliseconds; room is held meanwhile. */
+	private static final long ORDER_MILLIS = 200;
+
 	/**
 	 * Accounts for a run that is over.
 	 * @param run the run, still open
@@ -42,6 +51,18 @@
 		return new RunWork(saved, worked - saved, waited, cause);
 	}
 
+	/**
+	 * How much work would be lost if a run was stopped now.
+	 * @param run the run
+	 * @param now the steady clock
+	 * @return core-seconds
+	 */
+	static double lossIfStopped(Run run, long now) {
+		Step step = run.task().step().spec();
+		double millis = step.checkpoints() ? RESTORE_MILLIS : run.workedMillis(now) + ORDER_MILLIS;
+		return step.room().coreEquivalents() * (run.running() ? millis : ORDER_MILLIS) / MILLIS;
+	}
+
 	private static WorkOutcome causeOf(Run run, RunEnding how, long now) {
 		return switch (how) {
 			case FAILED -> WorkOutcome.FAILED_TRY;
--- a/core/src/test/java/org/almondmount/workflow/UrgentBurstTests.java
+++ b/core/src/test/java/org/almondmount/workflow/UrgentBurstTests.java
@@ -45,6 +45,41 @@
 		assertThat(stopsFor(job("urgent", 0, step(4, 4)))).isEmpty();
 	}
 
+	// The gang's two members are one piece of work. Counted once a member for each member
+	// it looked twice as dear as it is, and the urgent job waited for its end.
+	@Test
+	void theWorkOfAGangCountsOnce() {
+		begin(1);
+		startsOf(job("less", 2, gang(2, 4))).forEach(this::run);
+		this.now += 2_000;
+		report(0, false);
+		assertThat(stopsFor(jobOf("nobody", "urgent", 0, timed(1, 8, 2_000, false)))).hasSize(2);
+	}
+
+	// The cheap small runs alone do not make room for it. Once the large one has to go
+	// there is no need for all of them to stop.
+	@Test
+	void noRunGivesWayWhoseRoomIsNotNeeded() {
+		begin(1);
+		startsOf(job("small", 2, step(4, 1))).forEach(this::run);
+		startsOf(job("large", 2, step(1, 4))).forEach(this::run);
+		assertThat(stopsFor(jobOf("nobody", "urgent", 0, step(1, 5)))).hasSize(2);
+	}
+
+	// What saves its progress loses a moment, whatever it has done so far.
+	@Test
+	void whatSavesGivesWayBeforeWhatDoesNot() {
+		begin(2);
+		List<WorkflowCommand.StartRun> lasting = startsOf(job("saves", 2, timed(1, 8, 100_000, true)));
+		lasting.forEach(this::run);
+		startsOf(job("loses", 2, timed(1, 8, 100_000, false))).forEach(this::run);
+		this.now += 2_000;
+		report(0, false);
+		report(1, false);
+		assertThat(stopsFor(jobOf("nobody", "urgent", 0, step(1, 8)))).extracting((stop) -> stop.task().job())
+			.containsExactly("saves");
+	}
+
 	@Test
 	void whatWouldBeLateItselfGoesOn() {
 		begin(2);
@@ -108,9 +143,10 @@
 		assertThat(keepAll(this.commands)).extracting((start) -> start.task().job()).containsExactly("starved");
 	}
 
-	private List<WorkflowCommand> stopsFor(Workflow job) {
+	private List<WorkflowCommand.StopRun> stopsFor(Workflow job) {
 		return feed(new WorkflowEvent.JobAccepted(job)).stream()
 			.filter(WorkflowCommand.StopRun.class::isInstance)
+			.map(WorkflowCommand.StopRun.class::cast)
 			.toList();
 	}
 
