--- a/core/src/main/java/org/almondmount/workflow/impl/Reservation.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Reservation.java
@@ -21,11 +21,6 @@
  */
 record Reservation(WorkUnit unit, Map<TaskState, Worker> placement, long inMillis) {
 
-	/**
-	 * A run of which nothing is known yet is taken to need this long, in milliseconds.
-	 */
-	private static final long UNKNOWN_LEFT_MILLIS = 10_000;
-
 	/**
 	 * Finds the place where a unit fits earliest.
 	 * @param now the steady clock
@@ -47,13 +42,13 @@
 	private static Optional<Reservation> within(long now, WorkUnit unit, List<Worker> workers) {
 		List<Run> byEnd = new ArrayList<>();
 		workers.forEach((worker) -> byEnd.addAll(worker.runs()));
-		byEnd.sort(Comparator.comparingLong((run) -> left(now, run)));
+		byEnd.sort(Comparator.comparingLong((run) -> run.leftMillis(now)));
 		Rooms ended = new Rooms();
 		for (Run run : byEnd) {
 			ended.give(run.worker(), run.room());
 			Optional<Map<TaskState, Worker>> placement = Placer.fillInOrder(unit, workers, copy(ended, workers));
 			if (placement.isPresent()) {
-				return Optional.of(new Reservation(unit, new LinkedHashMap<>(placement.get()), left(now, run)));
+				return Optional.of(new Reservation(unit, new LinkedHashMap<>(placement.get()), run.leftMillis(now)));
 			}
 		}
 		return Optional.empty();
@@ -65,13 +60,4 @@
 		return copy;
 	}
 
-	private static long left(long now, Run run) {
-		long left = run.leftMillis(now);
-		if (left != Long.MAX_VALUE) {
-			return left;
-		}
-		long expected = run.task().step().expectedMillis();
-		return (expected > 0) ? expected : UNKNOWN_LEFT_MILLIS;
-	}
-
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -13,6 +13,12 @@
 
 	private static final int WHOLE = 100;
 
+	/** Progress from which a speed is taken. */
+	private static final int LEAST_PERCENT = 5;
+
+	/** What a run takes of which nothing is known, in milliseconds. */
+	private static final long UNKNOWN_MILLIS = 10_000;
+
 	private static final long NOT_YET = Long.MIN_VALUE;
 
 	private static final double MILLIS = 1_000.0;
@@ -51,6 +57,8 @@
 
 	private int percent;
 
+	private int firstPercent;
+
 	/** Since when it works: a member of a gang begins once all are there. */
 	private long atWorkMillis = NOT_YET;
 
@@ -154,6 +162,7 @@
 			this.state = State.RUNNING;
 			this.startedMillis = now;
 			this.progressedMillis = now;
+			this.firstPercent = progress;
 		}
 		if (progress != this.percent) {
 			this.progressedMillis = now;
@@ -242,15 +251,19 @@
 	}
 
 	/**
-	 * The time that is left at the speed so far.
+	 * The time that is left: at the speed since it was first seen, or, where too little
+	 * was seen, as much of the expected time as its progress leaves. A percent is the
+	 * finest step that workers tell, so that a speed from a few of them is off by half.
 	 * @param now the steady clock
-	 * @return milliseconds, or {@link Long#MAX_VALUE} where nothing is known yet
+	 * @return milliseconds
 	 */
 	long leftMillis(long now) {
-		if (this.percent <= 0) {
-			return Long.MAX_VALUE;
+		int made = this.percent - this.firstPercent;
+		if (made >= LEAST_PERCENT) {
+			return (now - this.startedMillis) * (WHOLE - this.percent) / made;
 		}
-		return (now - this.startedMillis) * (WHOLE - this.percent) / this.percent;
+		long expected = this.task.step().expectedMillis();
+		return ((expected > 0) ? expected : UNKNOWN_MILLIS) * (WHOLE - this.percent) / WHOLE;
 	}
 
 	/**
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
@@ -21,6 +21,9 @@
 	/** The way of an order to stop, and of the word that it is done, in milliseconds. */
 	private static final long ORDER_WAY_MILLIS = 400;
 
+	/** A worker that leaves is there for about so much longer than it says. */
+	private static final long LEAVES_LATE_MILLIS = 500;
+
 	/** Three reports without a percent more. */
 	private static final long STANDSTILL_MILLIS = 3_000;
 
@@ -115,19 +118,34 @@
 	}
 
 	// What saves its progress is stopped just before its worker goes, so that all but the
-	// last moment is kept; what does not has nothing to gain by an earlier end.
+	// last moment is kept. What does not, and won't be done by then, would only lose
+	// more:
+	// it is stopped at once, with its gang, and begins elsewhere seconds earlier.
 	private void leaveInTime(long now, Run run) {
 		Worker worker = run.worker();
-		boolean going = worker.draining() && this.state.has(SchedulerFeature.MOVE_FROM_LEAVING)
-				&& now >= worker.leavesMillis() - this.state.policy().stopMillis() - ORDER_WAY_MILLIS;
-		if (going && run.running() && !run.stopping() && run.task().step().spec().checkpoints()
-				&& run.leftMillis(now) > worker.leavesMillis() - now) {
+		boolean leaving = worker.draining() && run.running() && !run.stopping()
+				&& this.state.has(SchedulerFeature.MOVE_FROM_LEAVING);
+		if (!leaving || run.task().step().spec().lasting()) {
+			return;
+		}
+		long stays = worker.leavesMillis() - now;
+		boolean saves = run.task().step().spec().checkpoints();
+		boolean going = stays <= this.state.policy().stopMillis() + ORDER_WAY_MILLIS;
+		boolean move = saves ? going && run.leftMillis(now) > stays : cannotEndWithin(stays, now, run);
+		if (move) {
 			this.state.explain("run-moves", "task", run.task().id(), "run", run.number(), "worker", worker.target(),
-					"why", "the worker leaves");
+					"why", "the worker leaves", "staysMillis", stays, "leftMillis", run.leftMillis(now));
 			this.ledger.stop(run, WorkOutcome.WORKER_LEFT);
 		}
 	}
 
+	// Workers often stay a little longer than they say, and what is left is known to
+	// about
+	// a percent of the whole.
+	private static boolean cannotEndWithin(long stays, long now, Run run) {
+		return run.leftMillis(now) > stays + stays / 4 + LEAVES_LATE_MILLIS;
+	}
+
 	// A worker on which tasks stand still looks busy and healthy. A task that moves takes
 	// a
 	// tenth of a second for a percent; one that was seen at the same percentage for
