--- a/core/src/main/java/org/almondmount/intake/IntakePolicy.java
+++ b/core/src/main/java/org/almondmount/intake/IntakePolicy.java
@@ -25,9 +25,9 @@
 		long wayBackMillis, long comeBackMillis) {
 
 	/**
-	 * With three eighths of its time for each, a caller of three seconds makes five tries,
-	 * as many as most make, and never spends half of its time at one entry but for the
-	 * last try. The store takes about 200 jobs a second, so 400 are kept within two
+	 * With three eighths of its time for each, a caller of three seconds makes five
+	 * tries, as many as most make, and never spends half of its time at one entry but for
+	 * the last try. The store takes about 200 jobs a second, so 400 are kept within two
 	 * seconds of its return. An answer is back within a few milliseconds, on a busy VM
 	 * within 80.
 	 */
