--- /dev/null
+++ b/fleet/src/main/java/org/almondmount/fleet/rehearsal/FleetRehearsal.java
@@ -0,0 +1,162 @@
+package org.almondmount.fleet.rehearsal;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import org.almondmount.fleet.DeclarationReader;
+import org.almondmount.fleet.FleetSettings;
+import org.almondmount.fleet.JobAnswer;
+import org.almondmount.fleet.Submission;
+import org.almondmount.fleet.ThreadLoop;
+import org.almondmount.fleet.entry.FleetEntry;
+import org.almondmount.fleet.target.FleetTarget;
+import org.almondmount.net.IoThreads;
+import org.almondmount.telemetry.Telemetry;
+import org.almondmount.wire.impl.NettyWire;
+import org.almondmount.workflow.FleetConfiguration;
+import org.almondmount.workflow.FleetCustomer;
+import org.almondmount.workflow.JobQueue;
+import org.almondmount.workflow.ResourceAmount;
+import org.almondmount.workflow.SchedulerFeature;
+import org.almondmount.workflow.Step;
+import org.almondmount.workflow.WorkerDescription;
+import org.almondmount.workflow.WorkerLife;
+import org.almondmount.workflow.Workflow;
+
+/**
+ * Two entries and a target that run three jobs on loopback, with a store and a worker in
+ * memory. Belongs to one thread.
+ * <p>
+ * A target that restarts has to be ready before the lease beside it runs out. Some 700 of
+ * the classes that it uses came from jar files and not from the archive, because the
+ * build ran no connection, no order and no commit: on half a core that took as long as
+ * all the rest of the start.
+ */
+public final class FleetRehearsal implements AutoCloseable {
+
+	private static final String TABLE = "declared";
+
+	private static final ResourceAmount CAPACITY = new ResourceAmount(8_000, 8_000, 8);
+
+	private static final ResourceAmount DEMAND = new ResourceAmount(1_000, 1_000, 1);
+
+	private static final Duration LEASE = Duration.ofSeconds(6);
+
+	private final IoThreads io = new IoThreads("rehearsal-io", 1);
+
+	private final Telemetry telemetry = new Telemetry();
+
+	private final MemoryStore store = new MemoryStore();
+
+	private final FleetEntry first;
+
+	private final FleetEntry second;
+
+	private final FleetTarget target;
+
+	/**
+	 * Makes an installation that does nothing before {@link #start()}.
+	 * @throws IOException where no port of loopback is free
+	 */
+	public FleetRehearsal() throws IOException {
+		this.store.put(TABLE, "configuration", "1");
+		this.first = entry("entry-1");
+		this.second = entry("entry-2");
+		WorkerLife life = new WorkerLife("worker", 1);
+		this.target = new FleetTarget(settings("target"), new MemoryWorker(life), this.store,
+				new NettyWire(this.io, this.telemetry), new ThreadLoop(), new Telemetry());
+		this.target.described(new WorkerDescription(life, "pool", "zone", Set.of("r1-1"), CAPACITY, false, 0));
+	}
+
+	/**
+	 * Begins, and hands in the jobs.
+	 * @return where the last of them stands each time that it is asked for
+	 */
+	public CompletableFuture<Submission> start() {
+		return this.first.start().thenCompose((started) -> this.second.start()).thenCompose((started) -> {
+			this.target.start();
+			this.target.described(new WorkerDescription(new WorkerLife("worker", 1), "pool", "zone", Set.of("r1-1"),
+					CAPACITY, false, 0));
+			return this.first.configured(OptionalLong.empty());
+		}).thenCompose((configured) -> {
+			this.first.submit(job("a", false), OptionalLong.empty());
+			this.second.submit(job("cancelled", false), OptionalLong.empty())
+				.thenCompose((outcome) -> this.second.cancel("cancelled", LEASE.toMillis()));
+			return this.second.submit(job("gang", true), OptionalLong.empty());
+		});
+	}
+
+	/**
+	 * Asks where the job of the gang stands.
+	 * @return the answer
+	 */
+	public CompletableFuture<JobAnswer> phase() {
+		return this.second.phase("gang", LEASE.toMillis());
+	}
+
+	@Override
+	public void close() {
+		this.target.close();
+		this.first.close();
+		this.second.close();
+		this.io.close();
+	}
+
+	private FleetEntry entry(String name) throws IOException {
+		return new FleetEntry(settings(name), this.store, new Declared(), new NettyWire(this.io, this.telemetry),
+				new ThreadLoop(), new Telemetry());
+	}
+
+	private static FleetSettings settings(String name) throws IOException {
+		return new FleetSettings(name, "zone", new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort()),
+				"a key for the rehearsal alone", LEASE, Duration.ofSeconds(2), Duration.ofSeconds(1),
+				Duration.ofMillis(200), Duration.ofMinutes(2), SchedulerFeature.ALL);
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return socket.getLocalPort();
+		}
+	}
+
+	private static Workflow job(String id, boolean gang) {
+		Step step = new Step(2, DEMAND, 1_000, List.of(), true, gang, Step.Placement.ANYWHERE, false,
+				Step.ServiceTerms.NONE);
+		return new Workflow(id, "queue", "customer", "program", List.of(step), Workflow.Schedule.ONCE,
+				System.currentTimeMillis());
+	}
+
+	/**
+	 * One queue and one customer, whatever is declared.
+	 */
+	private static final class Declared implements DeclarationReader {
+
+		@Override
+		public String table() {
+			return TABLE;
+		}
+
+		@Override
+		public Optional<FleetConfiguration> configuration(Map<String, String> rows) {
+			JobQueue queue = new JobQueue("queue", "host", "/queue/", "pool", 0, 2, 3, 1_000, false, false);
+			FleetCustomer customer = new FleetCustomer("customer", Set.of("key"), 8);
+			return Optional.of(new FleetConfiguration(1, List.of(queue), List.of("pool"), List.of(customer)));
+		}
+
+		@Override
+		public Set<String> zonesOut(Map<String, String> rows) {
+			return Set.of();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/fleet/src/main/java/org/almondmount/fleet/rehearsal/MemoryWorker.java
@@ -0,0 +1,69 @@
+package org.almondmount.fleet.rehearsal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.almondmount.fleet.WorkerCalls;
+import org.almondmount.worker.WorkerCommand;
+import org.almondmount.worker.WorkerEvent;
+import org.almondmount.worker.WorkerEvent.CallEnding;
+import org.almondmount.workflow.RunEnding;
+import org.almondmount.workflow.WorkerLife;
+import org.almondmount.workflow.WorkerReport.Ended;
+import org.almondmount.workflow.WorkerReport.Running;
+
+/**
+ * A worker whose runs end after three looks. Thread-safe.
+ */
+final class MemoryWorker implements WorkerCalls {
+
+	private static final int LOOKS = 3;
+
+	private static final int PERCENT_A_LOOK = 30;
+
+	private final WorkerLife life;
+
+	private final Map<WorkerCommand.Start, Integer> looks = new HashMap<>();
+
+	private final List<Ended> ended = new ArrayList<>();
+
+	private long lastEnd;
+
+	MemoryWorker(WorkerLife life) {
+		this.life = life;
+	}
+
+	@Override
+	public synchronized CompletableFuture<WorkerEvent> look(WorkerCommand.Look look) {
+		this.ended.removeIf((end) -> end.number() <= look.acknowledged());
+		List<Running> running = new ArrayList<>();
+		for (WorkerCommand.Start start : List.copyOf(this.looks.keySet())) {
+			int seen = this.looks.merge(start, 1, Integer::sum);
+			if (seen > LOOKS) {
+				this.looks.remove(start);
+				this.ended.add(new Ended(++this.lastEnd, start.task(), start.run(), RunEnding.DONE, "saved-" + seen));
+				continue;
+			}
+			running.add(new Running(start.task(), start.run(), "saved-" + seen, seen * PERCENT_A_LOOK));
+		}
+		return CompletableFuture.completedFuture(
+				new WorkerEvent.Looked(look.look(), this.life, System.currentTimeMillis(), running, this.ended));
+	}
+
+	@Override
+	public synchronized CompletableFuture<WorkerEvent.StartEnded> start(WorkerCommand.Start start) {
+		this.looks.put(start, 0);
+		return CompletableFuture
+			.completedFuture(new WorkerEvent.StartEnded(start.task(), start.run(), CallEnding.DONE, ""));
+	}
+
+	@Override
+	public synchronized CompletableFuture<WorkerEvent.StopEnded> stop(WorkerCommand.Stop stop) {
+		this.looks.keySet().removeIf((start) -> start.task().equals(stop.task()) && start.run() == stop.run());
+		return CompletableFuture.completedFuture(new WorkerEvent.StopEnded(stop.task(), stop.run(), CallEnding.DONE));
+	}
+
+}
