--- a/core/src/main/java/org/almondmount/workflow/SchedulerFeature.java
+++ b/core/src/main/java/org/almondmount/workflow/SchedulerFeature.java
@@ -27,6 +27,9 @@
 	/** Work that has time gives way to urgent work that is in time only so. */
 	GIVE_WAY_TO_URGENT,
 
+	/** Nothing gives way to urgent work that will find room in time by itself. */
+	WAIT_BEFORE_GIVING_WAY,
+
 	/** Runs are moved in time from a worker that leaves. */
 	MOVE_FROM_LEAVING,
 
--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -29,6 +29,12 @@
 	 */
 	private static final double MOST_THROWN_AWAY = 2.0;
 
+	/**
+	 * Work that is thrown away rather than have an urgent caller wait, in parts of the
+	 * urgent job's own.
+	 */
+	private static final double NEXT_TO_NOTHING = 0.1;
+
 	private final SchedulerState state;
 
 	private final RunLedger ledger;
@@ -103,10 +109,14 @@
 	}
 
 	private void reserve(WorkUnit unit) {
+		earliest(unit).ifPresent(this.reservations::add);
+	}
+
+	private Optional<Reservation> earliest(WorkUnit unit) {
 		List<Worker> workers = unit.workers();
 		boolean oneRack = this.placer.goesInOneRack(unit, workers);
 		List<List<Worker>> choices = oneRack ? this.placer.racks(unit, workers) : List.of(workers);
-		Reservation.earliest(this.state.steadyMillis(), unit, choices).ifPresent(this.reservations::add);
+		return Reservation.earliest(this.state.steadyMillis(), unit, choices);
 	}
 
 	private void makeRoom(WorkUnit unit) {
@@ -134,9 +144,20 @@
 		double own = Outlook.coreSeconds(unit.step(), whole.tasks().size());
 		plan(whole, (run) -> mayGiveWay(run) && hasTimeToWait(run, unit.step().expectedMillis()))
 			.filter((plan) -> plan.cost() <= own * MOST_THROWN_AWAY)
+			.filter((plan) -> plan.cost() <= own * NEXT_TO_NOTHING || !fitsInTimeByItself(whole))
 			.ifPresent((plan) -> giveWay(whole, plan));
 	}
 
+	// Much of what runs ends by itself within the second or two that an urgent job can
+	// wait. Should it not, there is still time for it to give way.
+	private boolean fitsInTimeByItself(WorkUnit whole) {
+		if (!this.state.has(SchedulerFeature.WAIT_BEFORE_GIVING_WAY)) {
+			return false;
+		}
+		long within = whole.outlook().latestStartMillis() - this.state.wallMillis() - this.state.policy().stopMillis();
+		return earliest(whole).map((found) -> found.inMillis() <= within).orElse(false);
+	}
+
 	private boolean waitsWithoutRoom(TaskState task) {
 		return task.idle() && !task.done() && !this.cleared.containsKey(task);
 	}
--- a/core/src/test/java/org/almondmount/workflow/UrgentBurstTests.java
+++ b/core/src/test/java/org/almondmount/workflow/UrgentBurstTests.java
@@ -45,6 +45,18 @@
 		assertThat(stopsFor(job("urgent", 0, step(4, 4)))).isEmpty();
 	}
 
+	// What runs will be done in half a second, and the caller of the urgent job can wait
+	// that long. Stopped now, the other caller would lose nearly all for nothing.
+	@Test
+	void nothingGivesWayToWhatFindsRoomInTimeByItself() {
+		begin(1);
+		List<WorkflowCommand.StartRun> starts = startsOf(job("less", 2, timed(2, 4, 10_000, false)));
+		progress(starts, 0, 0);
+		this.now += 9_000;
+		progress(starts, 95, 95);
+		assertThat(stopsFor(jobOf("nobody", "urgent", 0, step(1, 8)))).isEmpty();
+	}
+
 	// The gang's two members are one piece of work. Counted once a member for each member
 	// it looked twice as dear as it is, and the urgent job waited for its end.
 	@Test
