A request that a leaving target did not start waits for one that has just joined

Known red: GracefulShutdownTests.aRollingRestartOfTheTargetsCutsNoRequest once got 503 targets-busy: worker-2 left, worker-1 had joined entry-2 a moment before, and entry-2 did not offer it the request. Cause: a target joins an entry with no slots and lends them once other entries gave them back. Until then it did not count as a target to try, so the refusal of the leaving one was final. Ruled out: the retry budget (it has a reason of its own) and the attempts (the request had made one). Change: for the time that a request waits for any target, one that has joined and lent nothing yet counts. A test without processes fails before.

--- a/core/src/main/java/org/almondmount/requests/impl/Dispatcher.java
+++ b/core/src/main/java/org/almondmount/requests/impl/Dispatcher.java
@@ -129,7 +129,7 @@
 		this.budgetSpent = false;
 		boolean over = request.callerGone() || request.deadline() <= now
 				|| request.attempts() >= this.state.policy().maxAttempts();
-		if (over || !this.state.targets().anyUntried(this.state.configuration(), request.tried())) {
+		if (over || !this.state.targets().anyUntried(now, this.state.configuration(), request.tried())) {
 			return false;
 		}
 		this.budgetSpent = !this.state.budget().spend();
@@ -144,7 +144,7 @@
 			}
 			RequestRecord request = this.state.queue().first(customer);
 			Set<TargetId> tried = request.tried();
-			if (!tried.isEmpty() && !this.state.targets().anyUntried(configuration, tried)) {
+			if (!tried.isEmpty() && !this.state.targets().anyUntried(now, configuration, tried)) {
 				this.endings.refuse(request, RefusalReason.TARGETS_BUSY, "no target is left that was not tried");
 				return true;
 			}
--- a/core/src/main/java/org/almondmount/requests/impl/TargetRecord.java
+++ b/core/src/main/java/org/almondmount/requests/impl/TargetRecord.java
@@ -62,6 +62,10 @@
 		return this.zone;
 	}
 
+	long joinedAt() {
+		return this.joinedAt;
+	}
+
 	int slots() {
 		return this.slots;
 	}
--- a/core/src/main/java/org/almondmount/requests/impl/TargetTable.java
+++ b/core/src/main/java/org/almondmount/requests/impl/TargetTable.java
@@ -59,7 +59,11 @@
 	 * @return true if it may
 	 */
 	boolean mayServe(Configuration configuration, TargetRecord target) {
-		return !target.leaving() && target.slots() > 0 && configuration.zone(target.zone()).acceptsWork();
+		return target.slots() > 0 && mayServeOnceItLends(configuration, target);
+	}
+
+	private static boolean mayServeOnceItLends(Configuration configuration, TargetRecord target) {
+		return !target.leaving() && configuration.zone(target.zone()).acceptsWork();
 	}
 
 	boolean anyMayServe(Configuration configuration) {
@@ -71,9 +75,22 @@
 		return false;
 	}
 
-	boolean anyUntried(Configuration configuration, Set<TargetId> tried) {
+	/**
+	 * Whether a target is left that was not tried. One that has just joined counts though
+	 * it has lent no slots yet: it lends them once other entries have given them back,
+	 * some milliseconds later. During a rolling restart it may be the only one, and a
+	 * request that the leaving one did not start would be refused beside it.
+	 * @param now the time
+	 * @param configuration the accepted configuration
+	 * @param tried targets to leave out
+	 * @return true if there is one
+	 */
+	boolean anyUntried(long now, Configuration configuration, Set<TargetId> tried) {
+		long joinedSince = now - this.policy.noTargetWait().toMillis();
 		for (TargetRecord target : this.targets.values()) {
-			if (mayServe(configuration, target) && !tried.contains(target.id())) {
+			boolean serves = mayServe(configuration, target)
+					|| mayServeOnceItLends(configuration, target) && target.joinedAt() > joinedSince;
+			if (serves && !tried.contains(target.id())) {
 				return true;
 			}
 		}
--- a/core/src/test/java/org/almondmount/requests/RequestRouterTests.java
+++ b/core/src/test/java/org/almondmount/requests/RequestRouterTests.java
@@ -84,6 +84,34 @@
 		assertThat(sends()).hasSize(1);
 	}
 
+	// A rolling restart of two targets: the first has joined again and lends its slots in
+	// a
+	// moment; the second leaves and did not start a request. Its caller would hear that
+	// it has not run, though a target that could run it is connected.
+	@Test
+	void aRequestThatALeavingTargetDidNotStartWaitsForOneThatHasJustJoined() {
+		join(T2, NEAR, 8);
+		arrive("r", ANNA, false);
+		on(new RequestEvent.TargetJoined(T1, NEAR, 0));
+		on(new RequestEvent.TargetLeaving(T2));
+		on(new RequestEvent.NotStarted(new RequestId("r"), 1, T2, "leaving"));
+		assertThat(this.router.outstanding()).isEqualTo(1);
+		on(new RequestEvent.TargetSlots(T1, 4));
+		assertThat(sends()).containsExactly(T1);
+	}
+
+	@Test
+	void aRequestDoesNotWaitLongForATargetThatLendsNothing() {
+		join(T2, NEAR, 8);
+		arrive("r", ANNA, false);
+		on(new RequestEvent.TargetJoined(T1, NEAR, 0));
+		on(new RequestEvent.TargetLeaving(T2));
+		on(new RequestEvent.NotStarted(new RequestId("r"), 1, T2, "leaving"));
+		this.now += this.policy.noTargetWait().toMillis() + 1;
+		on(new RequestEvent.TimePassed());
+		assertThat(this.router.outstanding()).isZero();
+	}
+
 	@Test
 	void aTargetInTheOwnZoneIsPreferred() {
 		join(T1, FAR, 8);
