--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -17,12 +17,10 @@
 import org.almondmount.fleet.Loop;
 import org.almondmount.fleet.StorePatience;
 import org.almondmount.fleet.Submission;
-import org.almondmount.fleet.Tables;
 import org.almondmount.intake.IntakePolicy;
 import org.almondmount.intake.IntakeRefusal;
 import org.almondmount.model.InvalidValueException;
 import org.almondmount.rows.RowStore;
-import org.almondmount.rows.RowStore.Row;
 import org.almondmount.rows.RowStore.Write;
 import org.almondmount.telemetry.EventLog;
 import org.almondmount.telemetry.Telemetry;
@@ -49,30 +47,14 @@
 
 	private static final EventLog LOG = EventLog.of(FleetEntry.class);
 
-	/** Tells another entry what operators declared. */
-	private static final String DECLARED = "declared";
-
 	/** Tells another entry that the store, which was silent, answers again. */
 	private static final String STORE_ANSWERS = "store-answers";
 
-	private static final String VERSION = "version";
-
-	private static final String DELETED = "deleted";
-
 	private static final long HOLDER_WORD_MILLIS = 300;
 
 	/** Entries that do not hold the term speak at every third turn. */
 	private static final int QUIET_TURNS = 3;
 
-	/** A peer that lags for so long is told; before that its own feed will bring it. */
-	private static final long LAG_MILLIS = 400;
-
-	private static final long ENROL_RETRY_MILLIS = 300;
-
-	private static final long ENTRIES_MILLIS = 2_500;
-
-	private static final int MOST_ENTRIES = 500;
-
 	private final FleetSettings settings;
 
 	private final RowStore store;
@@ -99,8 +81,12 @@
 
 	private final DeclaredState declared;
 
+	private final DeclaredNews news;
+
 	private final StoreProbe probe;
 
+	private final EntryRegister register;
+
 	private final CompletableFuture<Void> released = new CompletableFuture<>();
 
 	/** Calls that wait for the first configuration. */
@@ -146,6 +132,8 @@
 		this.desk = new FrontDesk(store, this.loop, this.patience, this.holder, calls, this.intake);
 		this.probe = new StoreProbe(store, this.loop, this.patience, this.intake::anyWaiting);
 		this.declared = new DeclaredState(store, reader, this.loop, this::inForce, this.probe::ask);
+		this.news = new DeclaredNews(this.declared, this.loop);
+		this.register = new EntryRegister(settings, store, this.loop, this.patience, this.peers);
 		this.probe.whenAnswering(this.term::storeAnswers);
 		this.probe.whenAnswering(this.intake::storeAnswers);
 		this.probe.whenAnswering(this::tellThatTheStoreAnswers);
@@ -273,9 +261,8 @@
 		this.holder.start();
 		this.intake.start();
 		this.probe.start();
-		enrol();
+		this.register.start();
 		this.loop.every(HOLDER_WORD_MILLIS, this::speak);
-		this.loop.every(ENTRIES_MILLIS, this::learnEntriesWhenAlone);
 	}
 
 	// Jobs of a queue that is not declared any more go last.
@@ -287,32 +274,6 @@
 		return this.holder.writesOf(sequence);
 	}
 
-	private void enrol() {
-		Write row = new Write(new RowStore.Place(Tables.ENTRIES, this.settings.name()),
-				Optional.of(this.settings.peerAddress()));
-		this.loop.then(this.store.commit(List.of(), List.of(row), this.patience.timeout()), (ending) -> {
-			if (ending instanceof RowStore.Commit.Committed) {
-				learnEntries();
-				return;
-			}
-			this.loop.after(ENROL_RETRY_MILLIS, this::enrol);
-		});
-	}
-
-	private void learnEntriesWhenAlone() {
-		if (this.peers.connectedAddresses().size() <= 1) {
-			learnEntries();
-		}
-	}
-
-	private void learnEntries() {
-		this.loop.then(this.store.read(Tables.ENTRIES, "", MOST_ENTRIES, this.patience.timeout()), (read) -> {
-			if (read instanceof RowStore.Read.Found found) {
-				found.rows().forEach((row) -> row.value().ifPresent(this.peers::known));
-			}
-		});
-	}
-
 	private void speak() {
 		this.turn++;
 		boolean holds = this.term.mayDecide();
@@ -412,7 +373,7 @@
 		}
 		if (message instanceof Message.EntryHeartbeat word) {
 			holderWord(connection.peer().address(), word);
-			tellDeclared(connection, word.revision());
+			this.news.tell(connection, word.revision());
 		}
 		else if (message instanceof Message.Forward call) {
 			forwarded(connection, call);
@@ -442,11 +403,7 @@
 			this.probe.ask();
 			return;
 		}
-		if (call.method().equals(DECLARED)) {
-			Optional<String> value = call.headers().containsKey(DELETED) ? Optional.empty()
-					: Optional.of(new String(call.body(), StandardCharsets.UTF_8));
-			this.declared
-				.told(List.of(DeclaredState.row("", call.path(), Long.parseLong(call.headers().get(VERSION)), value)));
+		if (this.news.taken(call)) {
 			return;
 		}
 		this.desk.asked(call)
@@ -454,19 +411,6 @@
 					answer.body().getBytes(StandardCharsets.UTF_8))));
 	}
 
-	private void tellDeclared(PeerConnection connection, long known) {
-		boolean settled = this.loop.steadyMillis() - this.declared.changedAtMillis() >= LAG_MILLIS;
-		if (known >= this.declared.version() || !settled) {
-			return;
-		}
-		for (Row row : this.declared.newerThan(known)) {
-			Map<String, String> headers = row.value().isPresent() ? Map.of(VERSION, Long.toString(row.version()))
-					: Map.of(VERSION, Long.toString(row.version()), DELETED, "true");
-			connection.send(new Message.Forward(0, "", DECLARED, row.place().key(),
-					row.value().orElse("").getBytes(StandardCharsets.UTF_8), headers));
-		}
-	}
-
 	/**
 	 * Hands what happens with the term to the parts that it concerns.
 	 */
--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
@@ -14,7 +14,6 @@
 import org.almondmount.fleet.StorePatience;
 import org.almondmount.fleet.Submission;
 import org.almondmount.fleet.Tables;
-import org.almondmount.fleet.codec.RecordCodec;
 import org.almondmount.intake.IntakeLine;
 import org.almondmount.intake.IntakePolicy;
 import org.almondmount.intake.IntakeRefusal;
@@ -82,7 +81,7 @@
 
 	private final IntakePolicy policy = IntakePolicy.DEFAULT;
 
-	private final IntakeLine<Attempt> line = new IntakeLine<>(this.policy.mostWaiting());
+	private final IntakeLine<IntakeAttempt> line = new IntakeLine<>(this.policy.mostWaiting());
 
 	/** Jobs of which nobody can tell whether they were accepted, the oldest first. */
 	private final Set<String> unsettled = new LinkedHashSet<>();
@@ -151,10 +150,12 @@
 
 	private CompletableFuture<Submission> begin(Workflow job, long patienceMillis, boolean forPeer) {
 		CompletableFuture<Submission> outcome = new CompletableFuture<>();
-		Attempt attempt = new Attempt(job, this.loop.steadyMillis(), patienceMillis, forPeer, outcome);
-		attempt.unsettled = this.unsettled.contains(job.id());
+		IntakeAttempt attempt = new IntakeAttempt(job, this.loop.steadyMillis(), patienceMillis, forPeer, outcome);
+		if (this.unsettled.contains(job.id())) {
+			attempt.mayBeKept();
+		}
 		if (this.patience.expectsSilence()) {
-			attempt.why = IntakeRefusal.STORE_SILENT;
+			attempt.refused(IntakeRefusal.STORE_SILENT, "");
 			notTaken(attempt);
 		}
 		else {
@@ -167,36 +168,35 @@
 	// store that has become slow answers the first copy later than that, and takes the
 	// longer the more copies it is sent: so each copy is waited for to the end, the first
 	// answer counts, and the next copy waits until the store has answered something else.
-	private void write(Attempt attempt) {
-		Place place = Tables.job(attempt.job.id());
+	private void write(IntakeAttempt attempt) {
+		Place place = Tables.job(attempt.job().id());
 		long sentAt = this.loop.steadyMillis();
 		int copy = attempt.sendCopy(sentAt);
 		this.writing++;
 		this.loop.after(this.patience.timeout().toMillis(), () -> overdue(attempt, copy, sentAt));
 		this.loop.then(this.store.commit(List.of(new Condition(place, 0)),
-				List.of(new Write(place, Optional.of(attempt.text))), LONGEST_WRITE), (ending) -> {
+				List.of(new Write(place, Optional.of(attempt.text()))), LONGEST_WRITE), (ending) -> {
 					boolean current = noLongerCurrent(attempt, copy);
-					attempt.copiesOut--;
+					attempt.copyEnded();
 					written(attempt, sentAt, ending, current);
 				});
 	}
 
-	private void overdue(Attempt attempt, int copy, long sentAt) {
+	private void overdue(IntakeAttempt attempt, int copy, long sentAt) {
 		if (noLongerCurrent(attempt, copy)) {
 			unanswered(attempt, "no answer yet after " + (this.loop.steadyMillis() - sentAt) + " ms");
 		}
 	}
 
-	private boolean noLongerCurrent(Attempt attempt, int copy) {
-		if (attempt.currentCopy != copy) {
+	private boolean noLongerCurrent(IntakeAttempt attempt, int copy) {
+		if (!attempt.noLongerWaitsFor(copy)) {
 			return false;
 		}
-		attempt.currentCopy = Attempt.NO_COPY;
 		this.writing--;
 		return true;
 	}
 
-	private void written(Attempt attempt, long sentAt, RowStore.Commit ending, boolean current) {
+	private void written(IntakeAttempt attempt, long sentAt, RowStore.Commit ending, boolean current) {
 		if (ending instanceof RowStore.Commit.Committed || ending instanceof RowStore.Commit.Conflict) {
 			this.patience.answered(this.loop.steadyMillis() - sentAt);
 			accepted(attempt, ending instanceof RowStore.Commit.Conflict);
@@ -211,9 +211,9 @@
 		}
 	}
 
-	private void unanswered(Attempt attempt, String why) {
+	private void unanswered(IntakeAttempt attempt, String why) {
 		this.patience.silent();
-		attempt.unsettled = true;
+		attempt.mayBeKept();
 		attempt.refused(IntakeRefusal.UNSETTLED, why);
 		standInLine(attempt);
 	}
@@ -221,24 +221,24 @@
 	// A job that was sent to a store that does not answer can no longer be refused. So
 	// where no answer is to be expected it is not sent, but asks another entry once and
 	// waits.
-	private void notTaken(Attempt attempt) {
-		if (attempt.accepted) {
+	private void notTaken(IntakeAttempt attempt) {
+		if (attempt.accepted()) {
 			return;
 		}
-		if (attempt.mayAskPeer) {
+		if (attempt.mayAskPeer()) {
 			askPeer(attempt);
 			return;
 		}
 		standInLine(attempt);
 	}
 
-	private void standInLine(Attempt attempt) {
-		long until = this.policy.waitsUntil(attempt.arrivedMillis, attempt.patienceMillis, attempt.unsettled);
-		if (attempt.forPeer || this.loop.steadyMillis() >= until) {
+	private void standInLine(IntakeAttempt attempt) {
+		long until = this.policy.waitsUntil(attempt.arrivedMillis(), attempt.patienceMillis(), attempt.unsettled());
+		if (attempt.forPeer() || this.loop.steadyMillis() >= until) {
 			giveUp(attempt);
 			return;
 		}
-		int priority = this.priorityOf.applyAsInt(attempt.job.queue());
+		int priority = this.priorityOf.applyAsInt(attempt.job().queue());
 		if (!this.line.add(priority, until, attempt)) {
 			attempt.refused(IntakeRefusal.TOO_MANY_WAIT, "");
 			giveUp(attempt);
@@ -259,19 +259,20 @@
 	// A store that does not answer this entry may answer another one, or be slow for all.
 	// A slow one would be held up by a second copy, so that is asked for only when a slow
 	// answer would have come.
-	private boolean hasToAskPeer(long now, Attempt attempt) {
-		return attempt.mayAskPeer && this.patience.expectsSilence() && now - attempt.lastCopyAt >= SLOW_ANSWER_MILLIS;
+	private boolean hasToAskPeer(long now, IntakeAttempt attempt) {
+		return attempt.mayAskPeer() && this.patience.expectsSilence()
+				&& now - attempt.lastCopyAt() >= SLOW_ANSWER_MILLIS;
 	}
 
 	// One job finds out whether a store that refused takes jobs again; the others follow
 	// as fast as it takes them.
 	private void writeWaiting(int most) {
 		while (this.writing < most) {
-			Optional<Attempt> next = this.line.takeFirst(this::mayBeWritten);
+			Optional<IntakeAttempt> next = this.line.takeFirst(this::mayBeWritten);
 			if (next.isEmpty()) {
 				return;
 			}
-			if (!next.get().accepted) {
+			if (!next.get().accepted()) {
 				write(next.get());
 			}
 		}
@@ -282,79 +283,82 @@
 	// longer the more copies it is sent: so each copy is waited for, the first answer
 	// counts, and the next copy leaves when the last one is late by what was learnt
 	// since.
-	private boolean mayBeWritten(Attempt attempt) {
-		long since = this.loop.steadyMillis() - attempt.lastCopyAt;
-		return attempt.copiesOut == 0 || since >= this.patience.timeout().toMillis();
+	private boolean mayBeWritten(IntakeAttempt attempt) {
+		long since = this.loop.steadyMillis() - attempt.lastCopyAt();
+		return !attempt.anyCopyOut() || since >= this.patience.timeout().toMillis();
 	}
 
 	// The store may turn away this entry and serve another one. Both write the same row
 	// on the condition that it is not there, so it does not matter whose write is first.
-	private void askPeer(Attempt attempt) {
-		attempt.mayAskPeer = false;
+	private void askPeer(IntakeAttempt attempt) {
+		attempt.peerAsked();
 		Optional<String> other = this.term.holder()
 			.map((row) -> row.address())
 			.filter(this.peers::connectedTo)
 			.or(() -> this.peers.anyOther(""));
-		long left = attempt.arrivedMillis + attempt.patienceMillis - this.loop.steadyMillis();
+		long left = attempt.leftMillis(this.loop.steadyMillis());
 		if (other.isEmpty() || left <= 0) {
 			notTaken(attempt);
 			return;
 		}
-		byte[] body = attempt.text.getBytes(StandardCharsets.UTF_8);
-		this.loop.then(this.peers.call(other.get(), EntryCalls.SUBMIT, attempt.job.id(), body,
+		byte[] body = attempt.text().getBytes(StandardCharsets.UTF_8);
+		this.loop.then(this.peers.call(other.get(), EntryCalls.SUBMIT, attempt.job().id(), body,
 				Math.min(left, EntryCalls.HOLDER_MILLIS)), (answer) -> {
 					int status = answer.map(Message.ForwardAnswer::status).orElse(EntryCalls.UNSETTLED);
 					if (status == EntryCalls.OK) {
 						accepted(attempt, false);
 						return;
 					}
-					attempt.unsettled |= status != EntryCalls.UNAVAILABLE;
+					if (status != EntryCalls.UNAVAILABLE) {
+						attempt.mayBeKept();
+					}
 					notTaken(attempt);
 				});
 	}
 
-	private void accepted(Attempt attempt, boolean repeated) {
-		if (attempt.accepted) {
+	private void accepted(IntakeAttempt attempt, boolean repeated) {
+		if (attempt.accepted()) {
 			return;
 		}
-		attempt.accepted = true;
-		LOG.info("job-accepted", "job", attempt.job.id(), "queue", attempt.job.queue(), "customer",
-				attempt.job.customer(), "repeated", repeated, "afterMillis",
-				this.loop.steadyMillis() - attempt.arrivedMillis);
+		attempt.accept();
+		LOG.info("job-accepted", "job", attempt.job().id(), "queue", attempt.job().queue(), "customer",
+				attempt.job().customer(), "repeated", repeated, "afterMillis",
+				this.loop.steadyMillis() - attempt.arrivedMillis());
 		this.telemetry.count(repeated ? "jobs.repeated" : "jobs.accepted");
-		this.unsettled.remove(attempt.job.id());
-		attempt.outcome.complete(new Submission.Accepted());
+		this.unsettled.remove(attempt.job().id());
+		attempt.outcome().complete(new Submission.Accepted());
 		if (this.holder.deciding()) {
-			this.holder.accepted(attempt.job);
+			this.holder.accepted(attempt.job());
 			return;
 		}
-		this.calls.askHolder(EntryCalls.ACCEPTED, attempt.job.id(), attempt.text.getBytes(StandardCharsets.UTF_8),
+		this.calls.askHolder(EntryCalls.ACCEPTED, attempt.job().id(), attempt.text().getBytes(StandardCharsets.UTF_8),
 				EntryCalls.HOLDER_MILLIS);
 	}
 
 	// What an earlier call left unsettled may still take effect, so a later call for the
 	// same job can't be refused either.
-	private void giveUp(Attempt attempt) {
-		if (attempt.accepted) {
+	private void giveUp(IntakeAttempt attempt) {
+		if (attempt.accepted()) {
 			return;
 		}
 		long now = this.loop.steadyMillis();
-		attempt.unsettled |= this.unsettled.contains(attempt.job.id());
-		IntakeRefusal why = attempt.unsettled ? IntakeRefusal.UNSETTLED : attempt.why;
-		long left = attempt.arrivedMillis + attempt.patienceMillis - now;
-		Duration comeBack = this.policy.comeBackAfter(why, left);
-		this.telemetry.count(attempt.unsettled ? "jobs.unsettled" : "jobs.refused");
+		if (this.unsettled.contains(attempt.job().id())) {
+			attempt.mayBeKept();
+		}
+		IntakeRefusal why = attempt.why();
+		Duration comeBack = this.policy.comeBackAfter(why, attempt.leftMillis(now));
+		this.telemetry.count(attempt.unsettled() ? "jobs.unsettled" : "jobs.refused");
 		this.telemetry.count(REFUSED, why);
-		LOG.warn("job-not-accepted", "job", attempt.job.id(), "outcome", why, "why", attempt.detail, "waitedMillis",
-				now - attempt.arrivedMillis, "patienceMillis", attempt.patienceMillis, "comeBackMillis",
+		LOG.warn("job-not-accepted", "job", attempt.job().id(), "outcome", why, "why", attempt.detail(), "waitedMillis",
+				now - attempt.arrivedMillis(), "patienceMillis", attempt.patienceMillis(), "comeBackMillis",
 				comeBack.toMillis());
-		if (attempt.unsettled) {
-			this.unsettled.add(attempt.job.id());
+		if (attempt.unsettled()) {
+			this.unsettled.add(attempt.job().id());
 			dropOldest(this.unsettled);
-			attempt.outcome.complete(new Submission.Unsettled(comeBack));
+			attempt.outcome().complete(new Submission.Unsettled(comeBack));
 			return;
 		}
-		attempt.outcome.complete(new Submission.Refused(why, comeBack));
+		attempt.outcome().complete(new Submission.Refused(why, comeBack));
 	}
 
 	private static void dropOldest(Set<String> remembered) {
@@ -365,70 +369,4 @@
 		}
 	}
 
-	/**
-	 * One job on its way into the store.
-	 */
-	private static final class Attempt {
-
-		private static final int NO_COPY = 0;
-
-		private final Workflow job;
-
-		private final String text;
-
-		private final long arrivedMillis;
-
-		private final long patienceMillis;
-
-		/** Whether it came to another entry, which waits for the store itself. */
-		private final boolean forPeer;
-
-		private final CompletableFuture<Submission> outcome;
-
-		private boolean mayAskPeer;
-
-		private boolean accepted;
-
-		private int copies;
-
-		/** Copies of its write that were not answered. */
-		private int copiesOut;
-
-		/** The copy that is not overdue yet. */
-		private int currentCopy = NO_COPY;
-
-		private long lastCopyAt;
-
-		/** Whether it was sent to the store and may be kept. */
-		private boolean unsettled;
-
-		private IntakeRefusal why = IntakeRefusal.STORE_SILENT;
-
-		private String detail = "";
-
-		Attempt(Workflow job, long arrivedMillis, long patienceMillis, boolean forPeer,
-				CompletableFuture<Submission> outcome) {
-			this.job = job;
-			this.text = RecordCodec.write(job);
-			this.arrivedMillis = arrivedMillis;
-			this.patienceMillis = patienceMillis;
-			this.forPeer = forPeer;
-			this.mayAskPeer = !forPeer;
-			this.outcome = outcome;
-		}
-
-		int sendCopy(long now) {
-			this.lastCopyAt = now;
-			this.copiesOut++;
-			this.currentCopy = ++this.copies;
-			return this.currentCopy;
-		}
-
-		void refused(IntakeRefusal reason, String said) {
-			this.why = reason;
-			this.detail = said;
-		}
-
-	}
-
 }
