--- a/core/src/test/java/org/almondmount/workflow/UrgentBurstTests.java
+++ b/core/src/test/java/org/almondmount/workflow/UrgentBurstTests.java
@@ -64,13 +64,7 @@
 	// waits that moment, and nobody else loses what has run.
 	@Test
 	void nothingGivesWayBeforeANewHolderKnowsTheFleet() {
-		begin(1);
-		List<WorkflowCommand.StartRun> starts = startsOf(job("less", 2, step(2, 4)));
-		starts.forEach(this::run);
-		Workflow less = job("less", 2, step(2, 4));
-		Workflow urgent = jobOf("nobody", "urgent", 0, step(1, 8));
-		feed(new WorkflowEvent.TermBegan(2,
-				List.of(kept(less, starts), new WorkflowEvent.KeptJob(urgent, Optional.empty(), false))));
+		List<WorkflowCommand.StartRun> starts = startsInheritedBesideAnUrgentJob();
 		this.commands.clear();
 		feed(running(starts));
 		assertThat(this.commands).noneMatch(WorkflowCommand.StopRun.class::isInstance);
@@ -82,13 +76,7 @@
 
 	@Test
 	void urgentWorkMakesRoomOnceANewHolderHasWaitedForTheFleet() {
-		begin(1);
-		List<WorkflowCommand.StartRun> starts = startsOf(job("less", 2, step(2, 4)));
-		starts.forEach(this::run);
-		Workflow less = job("less", 2, step(2, 4));
-		Workflow urgent = jobOf("nobody", "urgent", 0, step(1, 8));
-		feed(new WorkflowEvent.TermBegan(2,
-				List.of(kept(less, starts), new WorkflowEvent.KeptJob(urgent, Optional.empty(), false))));
+		List<WorkflowCommand.StartRun> starts = startsInheritedBesideAnUrgentJob();
 		this.now += 1_000;
 		this.commands.clear();
 		feed(running(starts));
@@ -193,6 +181,18 @@
 		assertThat(keepAll(this.commands)).extracting((start) -> start.task().job()).containsExactly("starved");
 	}
 
+	// A term begins that inherits a worker full of less urgent work, and an urgent job.
+	private List<WorkflowCommand.StartRun> startsInheritedBesideAnUrgentJob() {
+		begin(1);
+		Workflow less = job("less", 2, step(2, 4));
+		List<WorkflowCommand.StartRun> starts = startsOf(less);
+		starts.forEach(this::run);
+		Workflow urgent = jobOf("nobody", "urgent", 0, step(1, 8));
+		feed(new WorkflowEvent.TermBegan(2,
+				List.of(kept(less, starts), new WorkflowEvent.KeptJob(urgent, Optional.empty(), false))));
+		return starts;
+	}
+
 	private static WorkflowEvent.KeptJob kept(Workflow job, List<WorkflowCommand.StartRun> starts) {
 		List<JobRecord.TaskRecord> tasks = new ArrayList<>();
 		for (WorkflowCommand.StartRun start : starts) {
