--- a/fleet/src/main/java/org/almondmount/fleet/rehearsal/FleetRehearsal.java
+++ b/fleet/src/main/java/org/almondmount/fleet/rehearsal/FleetRehearsal.java
@@ -78,8 +78,8 @@
 	}
 
 	/**
-	 * Begins, and hands in the jobs.
-	 * @return where the last of them stands each time that it is asked for
+	 * Begins, and hands in three jobs: one runs, one is cancelled, the last is a gang.
+	 * @return what became of the hand-in of the last one
 	 */
 	public CompletableFuture<Submission> start() {
 		return this.first.start().thenCompose((started) -> this.second.start()).thenCompose((started) -> {
