--- a/core/src/main/java/org/almondmount/workflow/WorkOutcome.java
+++ b/core/src/main/java/org/almondmount/workflow/WorkOutcome.java
@@ -7,49 +7,39 @@
 public enum WorkOutcome {
 
 	/** It is done, or saved in a checkpoint from which the task goes on. */
-	KEPT(false),
+	KEPT,
 
 	/** The job's caller cancelled it. */
-	CANCELLED(true),
+	CANCELLED,
 
 	/** Another task of the job failed for good. */
-	JOB_FAILED(true),
+	JOB_FAILED,
 
 	/** Its worker left at notice. */
-	WORKER_LEFT(true),
+	WORKER_LEFT,
 
 	/** Its worker, or the process beside it, is gone without notice. */
-	WORKER_LOST(true),
+	WORKER_LOST,
 
 	/** It made room for more urgent work. */
-	GAVE_WAY(true),
+	GAVE_WAY,
 
 	/** It held its room and waited for other members of its gang. */
-	GANG_WAITED(true),
+	GANG_WAITED,
 
 	/** Another member of its gang ended, and nothing more is known. */
-	GANG_BROKEN(true),
+	GANG_BROKEN,
 
 	/** The lease beside its worker ran out. */
-	LEASE_LAPSED(true),
+	LEASE_LAPSED,
 
 	/** The task failed. */
-	FAILED_TRY(true),
+	FAILED_TRY,
 
 	/** It made no progress and was stopped. */
-	STOOD_STILL(true),
+	STOOD_STILL,
 
 	/** An earlier term ordered it, and its worker did not run it. */
-	UNSETTLED(true);
-
-	private final boolean lost;
-
-	WorkOutcome(boolean lost) {
-		this.lost = lost;
-	}
-
-	public boolean lost() {
-		return this.lost;
-	}
+	UNSETTLED
 
 }
