--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -133,9 +133,8 @@
 	}
 
 	// Workers tell of themselves one after the other when a term begins. Room that is not
-	// known yet looks like no room: in one change of holders four runs, 1,130
-	// core-seconds,
-	// gave way to a job that found free workers 20 ms later.
+	// known yet looks like no room: in one change of holders four runs gave way, 1,130
+	// core-seconds, to a job that found free workers 20 ms later.
 	private boolean knowsTheFleet(WorkUnit unit) {
 		return this.state.termAgeMillis() >= (unit.guaranteed() ? GUARANTEE_SETTLING_MILLIS : SETTLING_MILLIS);
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
@@ -118,9 +118,8 @@
 	}
 
 	// What saves its progress is stopped just before its worker goes, so that all but the
-	// last moment is kept. What does not, and won't be done by then, would only lose
-	// more:
-	// it is stopped at once, with its gang, and begins elsewhere seconds earlier.
+	// last moment is kept. What does not, and won't be done by then, only loses more by
+	// going on: it is stopped at once, with its gang, and begins elsewhere sooner.
 	private void leaveInTime(long now, Run run) {
 		Worker worker = run.worker();
 		boolean leaving = worker.draining() && run.running() && !run.stopping()
--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
@@ -164,10 +164,7 @@
 		return outcome;
 	}
 
-	// A lost answer is found out only by waiting, so a copy is sent after a while. But a
-	// store that has become slow answers the first copy later than that, and takes the
-	// longer the more copies it is sent: so each copy is waited for to the end, the first
-	// answer counts, and the next copy waits until the store has answered something else.
+	// Each copy is waited for to the end and the first answer counts; see mayBeWritten.
 	private void write(IntakeAttempt attempt) {
 		Place place = Tables.job(attempt.job().id());
 		long sentAt = this.loop.steadyMillis();
