Waiting work is placed once for a burst of events, not after each of them

Log of the holder from 63.2 to 65.2 s: some five refusals or ends each 100 ms, nothing else; the commit that it sent at 64.5 s was seen by the other entries, but not by itself before its term ended.

Ruled out: commits that are too large (89 to 110 records of some 500 bytes, and answered), a refused condition (no conflict in the log), a slow store (its answers to other entries take 4 ms), the 600 and 950 ms of patience (the terms end without any of the two when validity runs out first).

WorkflowEvent.PlacementDue is an event of its own; PlacementPace (core) says when it is due: once something has changed, behind all that waits in the loop already, and after a rest as long as the last round took. What changed and what the round chose go into one commit, as before. A timer `placement` on the metrics address tells what a round takes.

VirtualLoop learnt to be busy for it. SchedulerFixture places after each event, as a driver does that has time: the tests of the scheduler stand as they were.

--- a/core/src/main/java/org/almondmount/workflow/WorkflowEvent.java
+++ b/core/src/main/java/org/almondmount/workflow/WorkflowEvent.java
@@ -59,6 +59,10 @@
 	record Forgotten(List<String> jobs) implements WorkflowEvent {
 	}
 
+	/** Waiting work is to be placed now; nothing else places it. */
+	record PlacementDue() implements WorkflowEvent {
+	}
+
 	/** Time has passed. */
 	record Tick() implements WorkflowEvent {
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -46,8 +46,7 @@
 		if (!declared(event) && !term(event) && this.state.epoch() != 0) {
 			decide(event);
 		}
-		if (this.state.epoch() != 0 && !(event instanceof WorkflowEvent.WorkerHeard)) {
-			this.round.run();
+		if (this.state.epoch() != 0 && completesBatch(event)) {
 			this.state.writeAhead().flush(this.state.commands());
 		}
 		return this.state.takeCommands();
@@ -69,6 +68,12 @@
 		return waiting;
 	}
 
+	// What changed since the last round and what the round chose go into one transaction;
+	// a round may rest for a while, and callers wait for what changed.
+	private static boolean completesBatch(WorkflowEvent event) {
+		return event instanceof WorkflowEvent.PlacementDue || event instanceof WorkflowEvent.Tick;
+	}
+
 	private boolean declared(WorkflowEvent event) {
 		if (event instanceof WorkflowEvent.ConfigurationChanged changed) {
 			this.state.configuration(changed.configuration());
@@ -116,6 +121,9 @@
 		else if (event instanceof WorkflowEvent.Kept kept) {
 			this.state.writeAhead().kept(kept.sequence());
 		}
+		else if (event instanceof WorkflowEvent.PlacementDue) {
+			this.round.run();
+		}
 		else if (event instanceof WorkflowEvent.Tick) {
 			this.reports.timePassed();
 			this.endedJobs.timePassed();
--- a/core/src/test/java/org/almondmount/workflow/SchedulerFixture.java
+++ b/core/src/test/java/org/almondmount/workflow/SchedulerFixture.java
@@ -133,7 +133,19 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Feeds an event and has waiting work placed, as a driver does that has time; a mere
+	 * sign of life changes nothing that a driver would place for.
+	 */
 	List<WorkflowCommand> feed(WorkflowEvent event) {
+		List<WorkflowCommand> answer = new ArrayList<>(feedAlone(event));
+		if (!(event instanceof WorkflowEvent.WorkerHeard)) {
+			answer.addAll(feedAlone(new WorkflowEvent.PlacementDue()));
+		}
+		return answer;
+	}
+
+	List<WorkflowCommand> feedAlone(WorkflowEvent event) {
 		List<WorkflowCommand> answer = this.scheduler.handle(new Instant(this.now, this.now), event);
 		this.commands.addAll(answer);
 		return answer;
--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -26,6 +26,7 @@
 import org.almondmount.workflow.FleetConfiguration;
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.JobRecord;
+import org.almondmount.workflow.PlacementPace;
 import org.almondmount.workflow.WorkOutcome;
 import org.almondmount.workflow.Workflow;
 import org.almondmount.workflow.WorkflowCommand;
@@ -44,6 +45,9 @@
 	/** Core-seconds of work that is over, by what became of it. */
 	private static final String WORK = "work";
 
+	/** What a round of placing waiting work takes. */
+	private static final String PLACEMENT = "placement";
+
 	private static final int PAGE = 500;
 
 	/** Progress without a job that is removed in one transaction. */
@@ -76,6 +80,11 @@
 
 	private final long leaseMillis;
 
+	private final PlacementPace pace = new PlacementPace();
+
+	/** Whether a round waits in the loop behind the events that came before it. */
+	private boolean placementAsked;
+
 	private final Map<String, List<Consumer<Boolean>>> cancels = new HashMap<>();
 
 	private List<JobRecord> saving = List.of();
@@ -203,6 +212,34 @@
 	}
 
 	private void feed(WorkflowEvent event) {
+		handle(event);
+		if (!(event instanceof WorkflowEvent.WorkerHeard)) {
+			this.pace.want();
+			askForPlacement();
+		}
+	}
+
+	// The round goes behind what waits in the loop already, so that a burst of events is
+	// placed once. Where it rests, or the loop is full, the next tick asks again.
+	private void askForPlacement() {
+		if (!this.placementAsked && deciding() && this.pace.due(this.loop.steadyMillis())) {
+			this.placementAsked = this.loop.run(this::place);
+		}
+	}
+
+	private void place() {
+		this.placementAsked = false;
+		if (!deciding()) {
+			return;
+		}
+		long from = this.loop.steadyMillis();
+		handle(new WorkflowEvent.PlacementDue());
+		long to = this.loop.steadyMillis();
+		this.pace.placed(from, to);
+		this.telemetry.time(PLACEMENT, Duration.ofMillis(to - from));
+	}
+
+	private void handle(WorkflowEvent event) {
 		WorkflowScheduler.Instant now = new WorkflowScheduler.Instant(this.loop.steadyMillis(), this.loop.wallMillis());
 		List<WorkflowCommand> commands = this.scheduler.handle(now, event);
 		commands.forEach(this::carryOut);
--- a/fleet/src/test/java/org/almondmount/fleet/sim/Checker.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/Checker.java
@@ -73,6 +73,8 @@
 
 	private final Set<String> begun = new HashSet<>();
 
+	private long starts;
+
 	Checker(VirtualTime time) {
 		this.time = time;
 	}
@@ -81,6 +83,14 @@
 		return this.broken;
 	}
 
+	/**
+	 * How many runs workers have begun.
+	 * @return a count
+	 */
+	long starts() {
+		return this.starts;
+	}
+
 	void submit(Workflow job, long runMillis, boolean fails) {
 		this.submitted.put(job.id(), job);
 		this.runTimes.put(job.id(), runMillis);
@@ -128,6 +138,7 @@
 	}
 
 	void started(SimWorker worker, WorkerCommand.Start start) {
+		this.starts++;
 		TaskId task = start.task();
 		LOG.info("seen-start", "at", this.time.now(), "task", task, "run", start.run(), "worker", worker.name(),
 				"epoch", start.epoch());
--- a/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
@@ -13,11 +13,16 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 
+import com.codahale.metrics.Timer;
 import org.almondmount.fleet.DeclarationReader;
 import org.almondmount.fleet.FleetSettings;
 import org.almondmount.fleet.JobAnswer;
 import org.almondmount.fleet.Submission;
+import org.almondmount.fleet.Tables;
+import org.almondmount.fleet.codec.RecordCodec;
 import org.almondmount.fleet.entry.FleetEntry;
 import org.almondmount.fleet.target.FleetTarget;
 import org.almondmount.telemetry.Telemetry;
@@ -73,6 +78,8 @@
 
 	private final Set<String> zonesOut = new HashSet<>();
 
+	private long roundMillis;
+
 	FleetWorld(long seed, int entryCount, int workerCount) {
 		this.random = new Random(seed);
 		this.store = new SimStore(this.time, this.random);
@@ -127,6 +134,22 @@
 		return this.seen;
 	}
 
+	/**
+	 * Makes the machines of entries slow.
+	 * @param millis what a round of placing takes
+	 */
+	void entriesPlaceSlowly(long millis) {
+		this.roundMillis = millis;
+	}
+
+	/**
+	 * The epoch of the latest term.
+	 * @return the epoch, 0 before the first one
+	 */
+	long epoch() {
+		return this.store.value(Tables.TERM).map((value) -> RecordCodec.readTerm(value).epoch()).orElse(0L);
+	}
+
 	void runFor(long millis) {
 		this.time.runUntil(this.time.now() + millis);
 	}
@@ -289,11 +312,17 @@
 		@Override
 		void begin(VirtualLoop fresh, SimWire.Endpoint network) {
 			this.client = FleetWorld.this.store.client();
-			this.entry = new FleetEntry(settings(this.port), this.client, new Declared(), network, fresh,
-					new Telemetry());
+			Telemetry telemetry = new Telemetry();
+			fresh.costs(costOfRounds(telemetry.registry().timer("placement")));
+			this.entry = new FleetEntry(settings(this.port), this.client, new Declared(), network, fresh, telemetry);
 			this.entry.start();
 		}
 
+		private LongSupplier costOfRounds(Timer rounds) {
+			AtomicLong charged = new AtomicLong();
+			return () -> (rounds.getCount() - charged.getAndSet(rounds.getCount())) * FleetWorld.this.roundMillis;
+		}
+
 		CompletableFuture<Submission> submit(Workflow job) {
 			return this.entry.submit(job, PATIENCE);
 		}
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SimStore.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimStore.java
@@ -83,6 +83,10 @@
 			.count();
 	}
 
+	Optional<String> value(RowStore.Place place) {
+		return Optional.ofNullable(this.rows.get(key(place))).flatMap(RowStore.Row::value);
+	}
+
 	Client client() {
 		return new Client();
 	}
--- a/fleet/src/test/java/org/almondmount/fleet/sim/VirtualLoop.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/VirtualLoop.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.LongSupplier;
 
 import org.almondmount.fleet.Loop;
 
 /**
- * The loop of one simulated process; it can be paused and killed.
+ * The loop of one simulated process; it can be paused and killed, and be busy for a while
+ * after each thing that it did.
  */
 final class VirtualLoop implements Loop {
 
@@ -18,10 +20,23 @@
 
 	private boolean paused;
 
+	/** How long the last thing that was done takes on this machine, in milliseconds. */
+	private LongSupplier cost = () -> 0;
+
+	private long busyUntil = Long.MIN_VALUE;
+
 	VirtualLoop(VirtualTime time) {
 		this.time = time;
 	}
 
+	/**
+	 * Makes the machine slow.
+	 * @param millis asked after each thing that was done: how long it took
+	 */
+	void costs(LongSupplier millis) {
+		this.cost = millis;
+	}
+
 	void kill() {
 		this.dead = true;
 		this.held.clear();
@@ -93,7 +108,12 @@
 			this.held.add(work);
 			return;
 		}
+		if (this.time.now() < this.busyUntil) {
+			this.time.at(this.busyUntil, () -> now(work));
+			return;
+		}
 		work.run();
+		this.busyUntil = this.time.now() + this.cost.getAsLong();
 	}
 
 }
