A round of placing asks cheap questions first; same decisions

A round put all workers in order and copied the free room for each unit that waits, most of which does not fit; a plan of what gives way built the room anew for each worker and counted each gang's loss for each comparison; a reservation tried to place the unit after each of all ends in turn.

Rooms.takesAll counts instead of placing: tasks of a unit are alike, so order does not matter. Nothing is put in order for a unit that does not fit. Free room of a worker is kept, not worked out; keys of an order are worked out once; the end after which a unit fits is found by halving; losses of gangs are counted once a search; workers that may run a step are found once a round by pool and label.

--- a/bench/src/main/java/org/almondmount/bench/cost/BusyFleet.java
+++ b/bench/src/main/java/org/almondmount/bench/cost/BusyFleet.java
@@ -84,6 +84,7 @@
 		for (int job = 0; job < this.workers + this.workers / 2; job++) {
 			take(handle(new WorkflowEvent.JobAccepted(job())));
 		}
+		take(handle(new WorkflowEvent.PlacementDue()));
 	}
 
 	/**
--- a/bench/src/main/java/org/almondmount/bench/cost/WorkflowDecisionBenchmark.java
+++ b/bench/src/main/java/org/almondmount/bench/cost/WorkflowDecisionBenchmark.java
@@ -20,8 +20,8 @@
 import org.openjdk.jmh.annotations.Warmup;
 
 /**
- * What a worker's report costs the scheduler for workflows on a full fleet with a
- * backlog, with the flags of the entries.
+ * What a worker's report and a round of placing cost the scheduler for workflows on a
+ * full fleet with a backlog, with the flags of the entries.
  */
 @BenchmarkMode(Mode.SampleTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
@@ -58,7 +58,7 @@
 	}
 
 	/**
-	 * A worker's report, with what is placed because of it.
+	 * A worker's report.
 	 * @return the commands
 	 */
 	@Benchmark
@@ -67,4 +67,15 @@
 		return this.commands;
 	}
 
+	/**
+	 * A worker's report and the round that places what waits.
+	 * @return the commands of the round
+	 */
+	@Benchmark
+	public List<WorkflowCommand> reportAndRound() {
+		this.fleet.handle(this.event);
+		this.commands = this.fleet.handle(new WorkflowEvent.PlacementDue());
+		return this.commands;
+	}
+
 }
--- a/core/src/main/java/org/almondmount/workflow/Step.java
+++ b/core/src/main/java/org/almondmount/workflow/Step.java
@@ -37,6 +37,14 @@
 		return this.service.fillsIdle() ? this.demand.withoutCpu() : this.demand;
 	}
 
+	/**
+	 * Whether it matters to the step's tasks what runs beside them.
+	 * @return whether there are steps from which they have to stay apart
+	 */
+	public boolean mindsNeighbours() {
+		return this.service.fillsIdle() || this.service.latencyTargetMillis() > 0;
+	}
+
 	/**
 	 * Whether the step's tasks must not stand beside those of another step. What fills
 	 * idle time slows others down by amounts that nobody knows beforehand, so it is kept
--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -224,7 +224,7 @@
 
 	// Room that was cleared for one unit is not there for any other.
 	private Rooms roomFor(WorkUnit unit) {
-		Rooms rooms = new Rooms();
+		Rooms rooms = Rooms.free();
 		this.cleared.forEach((first, placement) -> {
 			if (first != unit.first()) {
 				placement.forEach((task, worker) -> rooms.take(worker, first.step().spec().room()));
--- a/core/src/main/java/org/almondmount/workflow/impl/Placer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -45,11 +46,12 @@
 		if (!unit.gang()) {
 			return single(unit, workers, rooms.get());
 		}
+		Rooms room = rooms.get();
 		if (!goesInOneRack(unit, workers)) {
-			return fill(unit, workers, rooms.get());
+			return fill(unit, workers, room);
 		}
 		for (List<Worker> rack : racks(unit, workers)) {
-			Optional<Map<TaskState, Worker>> found = fill(unit, rack, rooms.get());
+			Optional<Map<TaskState, Worker>> found = fill(unit, rack, room);
 			if (found.isPresent()) {
 				return found;
 			}
@@ -70,10 +72,10 @@
 			racks.computeIfAbsent(worker.rack(), (rack) -> new ArrayList<>()).add(worker);
 		}
 		String near = unit.step().spec().placement().dataRack();
-		List<List<Worker>> sorted = new ArrayList<>(racks.values());
-		sorted.sort(Comparator.comparing((List<Worker> rack) -> !rack.get(0).rack().equals(near))
-			.thenComparingDouble(Placer::freeShare));
-		return sorted;
+		List<RackChoice> choices = new ArrayList<>(racks.size());
+		racks.forEach((rack, members) -> choices.add(new RackChoice(members, rack.equals(near), freeShare(members))));
+		choices.sort(RackChoice.ORDER);
+		return choices.stream().map(RackChoice::workers).toList();
 	}
 
 	/**
@@ -89,23 +91,25 @@
 	}
 
 	private boolean anyRackCouldHold(WorkUnit unit, List<Worker> workers) {
-		for (List<Worker> rack : racks(unit, workers)) {
-			Rooms empty = new Rooms();
-			for (Worker worker : rack) {
-				worker.runs().forEach((run) -> empty.give(worker, run.room()));
-			}
-			if (fill(unit, rack, empty).isPresent()) {
-				return true;
-			}
+		Rooms empty = Rooms.empty();
+		Map<String, List<Worker>> racks = new HashMap<>();
+		for (Worker worker : workers) {
+			racks.computeIfAbsent(worker.rack(), (rack) -> new ArrayList<>()).add(worker);
 		}
-		return false;
+		return racks.values().stream().anyMatch((rack) -> empty.takesAll(rack, unit));
 	}
 
-	Optional<Map<TaskState, Worker>> fill(WorkUnit unit, List<Worker> workers, Rooms rooms) {
-		List<Worker> order = new ArrayList<>(workers);
-		order.sort(Comparator.comparingInt((Worker worker) -> worker.health().doubt())
-			.thenComparingDouble((worker) -> fitCost(worker, rooms.free(worker))));
-		return fillInOrder(unit, order, rooms);
+	// Most of what waits does not fit, and is found out without putting workers in order.
+	private Optional<Map<TaskState, Worker>> fill(WorkUnit unit, List<Worker> workers, Rooms rooms) {
+		if (!rooms.takesAll(workers, unit)) {
+			return Optional.empty();
+		}
+		List<WorkerChoice> choices = new ArrayList<>(workers.size());
+		for (Worker worker : workers) {
+			choices.add(new WorkerChoice(worker, worker.health().doubt(), fitCost(worker, rooms.free(worker))));
+		}
+		choices.sort(WorkerChoice.ORDER);
+		return fillInOrder(unit, choices.stream().map(WorkerChoice::worker).toList(), rooms);
 	}
 
 	/**
@@ -165,4 +169,32 @@
 		return free;
 	}
 
+	/**
+	 * A rack with what speaks for it.
+	 *
+	 * @param workers its workers
+	 * @param near whether the unit's data lie there
+	 * @param free the room of its workers that is free, in whole workers
+	 */
+	private record RackChoice(List<Worker> workers, boolean near, double free) {
+
+		private static final Comparator<RackChoice> ORDER = Comparator.comparing((RackChoice choice) -> !choice.near)
+			.thenComparingDouble(RackChoice::free);
+
+	}
+
+	/**
+	 * A worker with what speaks for it.
+	 *
+	 * @param worker the worker
+	 * @param doubt what speaks against it
+	 * @param cost the room that is left there
+	 */
+	private record WorkerChoice(Worker worker, int doubt, double cost) {
+
+		private static final Comparator<WorkerChoice> ORDER = Comparator.comparingInt(WorkerChoice::doubt)
+			.thenComparingDouble(WorkerChoice::cost);
+
+	}
+
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/Preemption.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Preemption.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -63,115 +65,162 @@
 
 	private Optional<Plan> planWithin(long now, WorkUnit unit, List<Worker> workers, Supplier<Rooms> room,
 			Predicate<Run> mayGiveWay) {
-		Rooms rooms = room.get();
+		Rooms cleared = room.get();
+		Set<Run> candidates = new HashSet<>();
 		for (Worker worker : workers) {
 			for (Run run : worker.runs()) {
-				if (run.stopping() || mayGiveWay.test(run)) {
-					rooms.give(worker, run.room());
+				if (!run.stopping() && mayGiveWay.test(run)) {
+					candidates.add(run);
+				}
+				if (run.stopping() || candidates.contains(run)) {
+					cleared.give(worker, run.room());
 				}
 			}
 		}
-		List<Worker> cheapFirst = new ArrayList<>(workers);
-		Map<Worker, Double> costs = new HashMap<>();
-		workers.forEach((worker) -> costs.put(worker, costOfATask(now, unit, worker, room.get(), mayGiveWay)));
-		cheapFirst.sort(Comparator.comparingDouble(costs::get));
-		Optional<Map<TaskState, Worker>> placement = Placer.fillInOrder(unit, cheapFirst, rooms);
-		if (placement.isEmpty()) {
+		if (!cleared.takesAll(workers, unit)) {
 			return Optional.empty();
 		}
-		Set<Run> victims = victims(now, unit, placement.get(), room.get(), mayGiveWay);
+		Search search = new Search(now, unit, room.get(), candidates, new GangLosses(now));
+		List<Worker> cheapFirst = search.cheapFirst(workers);
+		Map<TaskState, Worker> placement = Placer.fillInOrder(unit, cheapFirst, cleared).orElseThrow();
+		Set<Run> victims = search.victims(placement);
 		double cost = victims.stream().mapToDouble((run) -> RunWork.lossIfStopped(run, now)).sum();
-		return Optional.of(new Plan(placement.get(), victims, cost));
+		return Optional.of(new Plan(placement, victims, cost));
 	}
 
-	private Set<Run> victims(long now, WorkUnit unit, Map<TaskState, Worker> placement, Rooms rooms,
-			Predicate<Run> mayGiveWay) {
-		Set<Run> victims = new LinkedHashSet<>();
-		for (Worker worker : new LinkedHashSet<>(placement.values())) {
-			long here = placement.values().stream().filter(worker::equals).count();
-			ResourceAmount wanted = unit.room().times(here);
-			victims.addAll(withWholeGangs(victimsOn(now, worker, wanted, rooms.free(worker), victims, mayGiveWay)));
-		}
-		return victims;
+	/**
+	 * Where the unit goes and what has to end first.
+	 *
+	 * @param placement the worker of each task
+	 * @param victims runs that give way
+	 * @param cost what is thrown away, in core-seconds
+	 */
+	record Plan(Map<TaskState, Worker> placement, Set<Run> victims, double cost) {
 	}
 
-	// Cheap runs first; then whatever turned out not to be needed is spared, the dearest
-	// first: a large run that gives way at last often makes room for all the small ones.
-	private static List<Run> victimsOn(long now, Worker worker, ResourceAmount wanted, ResourceAmount free,
-			Set<Run> given, Predicate<Run> mayGiveWay) {
-		ResourceAmount room = free;
-		List<Run> candidates = new ArrayList<>();
-		for (Run run : worker.runs()) {
-			if (run.stopping() || given.contains(run)) {
-				room = room.plus(run.room());
+	/**
+	 * One search for what gives way.
+	 *
+	 * @param now the steady clock
+	 * @param unit what is to be placed
+	 * @param free the room that is there for it
+	 * @param candidates the runs that may be stopped
+	 * @param losses what is lost with each
+	 */
+	private record Search(long now, WorkUnit unit, Rooms free, Set<Run> candidates, GangLosses losses) {
+
+		List<Worker> cheapFirst(List<Worker> workers) {
+			Map<Worker, Double> costs = new HashMap<>();
+			workers.forEach((worker) -> costs.put(worker, costOfATask(worker)));
+			List<Worker> sorted = new ArrayList<>(workers);
+			sorted.sort(Comparator.comparingDouble(costs::get));
+			return sorted;
+		}
+
+		Set<Run> victims(Map<TaskState, Worker> placement) {
+			Map<Worker, Integer> tasks = new LinkedHashMap<>();
+			placement.values().forEach((worker) -> tasks.merge(worker, 1, Integer::sum));
+			Set<Run> victims = new LinkedHashSet<>();
+			tasks.forEach((worker, here) -> victims
+				.addAll(withWholeGangs(victimsOn(worker, this.unit.room().times(here), victims))));
+			return victims;
+		}
+
+		// What one task of the unit costs on a worker that is filled with as many as go
+		// there.
+		private double costOfATask(Worker worker) {
+			ResourceAmount most = this.free.free(worker);
+			for (Run run : worker.runs()) {
+				most = (run.stopping() || this.candidates.contains(run)) ? most.plus(run.room()) : most;
+			}
+			long tasks = Math.min(this.unit.tasks().size(), most.holds(this.unit.room()));
+			if (tasks == 0) {
+				return Double.MAX_VALUE;
 			}
-			else if (mayGiveWay.test(run)) {
-				candidates.add(run);
+			double cost = 0;
+			for (Run run : victimsOn(worker, this.unit.room().times(tasks), Set.of())) {
+				cost += this.losses.of(run);
 			}
+			return cost / tasks;
 		}
-		candidates.sort(Comparator.comparingDouble((run) -> lossOfWholeGang(run, now)));
-		List<Run> chosen = new ArrayList<>();
-		for (Run run : candidates) {
-			if (wanted.fitsIn(room)) {
-				break;
+
+		// Cheap runs first; then whatever turned out not to be needed is spared, the
+		// dearest first: a large run that gives way at last often makes room for all the
+		// small ones.
+		private List<Run> victimsOn(Worker worker, ResourceAmount wanted, Set<Run> given) {
+			ResourceAmount room = this.free.free(worker);
+			List<Run> cheapFirst = new ArrayList<>();
+			for (Run run : worker.runs()) {
+				if (run.stopping() || given.contains(run)) {
+					room = room.plus(run.room());
+				}
+				else if (this.candidates.contains(run)) {
+					cheapFirst.add(run);
+				}
 			}
-			chosen.add(run);
-			room = room.plus(run.room());
+			cheapFirst.sort(Comparator.comparingDouble(this.losses::of));
+			List<Run> chosen = new ArrayList<>();
+			for (Run run : cheapFirst) {
+				if (wanted.fitsIn(room)) {
+					break;
+				}
+				chosen.add(run);
+				room = room.plus(run.room());
+			}
+			for (int i = chosen.size() - 1; i >= 0; i--) {
+				ResourceAmount without = room.minus(chosen.get(i).room());
+				if (wanted.fitsIn(without)) {
+					room = without;
+					chosen.remove(i);
+				}
+			}
+			return chosen;
 		}
-		for (int i = chosen.size() - 1; i >= 0; i--) {
-			ResourceAmount without = room.minus(chosen.get(i).room());
-			if (wanted.fitsIn(without)) {
-				room = without;
-				chosen.remove(i);
+
+		private static Set<Run> withWholeGangs(List<Run> victims) {
+			Set<Run> whole = new LinkedHashSet<>(victims);
+			for (Run victim : victims) {
+				if (victim.task().step().spec().gang()) {
+					victim.task().step().tasks().forEach((task) -> whole.addAll(task.openRuns()));
+				}
 			}
+			return whole;
 		}
-		return chosen;
+
 	}
 
-	// What one task of the unit costs on a worker that is filled with as many as go
-	// there.
-	private static double costOfATask(long now, WorkUnit unit, Worker worker, Rooms rooms, Predicate<Run> mayGiveWay) {
-		ResourceAmount most = rooms.free(worker);
-		for (Run run : worker.runs()) {
-			most = (run.stopping() || mayGiveWay.test(run)) ? most.plus(run.room()) : most;
-		}
-		long tasks = Math.min(unit.tasks().size(), most.holds(unit.room()));
-		if (tasks == 0) {
-			return Double.MAX_VALUE;
-		}
-		double cost = 0;
-		for (Run run : victimsOn(now, worker, unit.room().times(tasks), rooms.free(worker), Set.of(), mayGiveWay)) {
-			cost += lossOfWholeGang(run, now);
+	/**
+	 * What is lost with a run, all members of its gang included. Mutable; made for one
+	 * search, in which each run is asked for many times.
+	 */
+	private static final class GangLosses {
+
+		private final long now;
+
+		private final Map<StepState, Double> ofGangs = new HashMap<>();
+
+		GangLosses(long now) {
+			this.now = now;
 		}
-		return cost / tasks;
-	}
 
-	private static Set<Run> withWholeGangs(List<Run> victims) {
-		Set<Run> whole = new LinkedHashSet<>(victims);
-		for (Run victim : victims) {
-			if (victim.task().step().spec().gang()) {
-				victim.task().step().tasks().forEach((task) -> whole.addAll(task.openRuns()));
+		double of(Run run) {
+			StepState step = run.task().step();
+			if (!step.spec().gang()) {
+				return RunWork.lossIfStopped(run, this.now);
 			}
+			return this.ofGangs.computeIfAbsent(step, this::ofGang);
 		}
-		return whole;
-	}
 
-	private static double lossOfWholeGang(Run run, long now) {
-		double loss = 0;
-		for (Run member : withWholeGangs(List.of(run))) {
-			loss += RunWork.lossIfStopped(member, now);
+		private double ofGang(StepState step) {
+			double loss = 0;
+			for (TaskState task : step.tasks()) {
+				for (Run member : task.openRuns()) {
+					loss += RunWork.lossIfStopped(member, this.now);
+				}
+			}
+			return loss;
 		}
-		return loss;
-	}
 
-	/**
-	 * Where the unit goes and what has to end first.
-	 *
-	 * @param placement the worker of each task
-	 * @param victims runs that give way
-	 * @param cost what is thrown away, in core-seconds
-	 */
-	record Plan(Map<TaskState, Worker> placement, Set<Run> victims, double cost) {
 	}
 
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/Reservation.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Reservation.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -40,24 +39,50 @@
 	}
 
 	private static Optional<Reservation> within(long now, WorkUnit unit, List<Worker> workers) {
-		List<Run> byEnd = new ArrayList<>();
-		workers.forEach((worker) -> byEnd.addAll(worker.runs()));
-		byEnd.sort(Comparator.comparingLong((run) -> run.leftMillis(now)));
-		Rooms ended = new Rooms();
-		for (Run run : byEnd) {
-			ended.give(run.worker(), run.room());
-			Optional<Map<TaskState, Worker>> placement = Placer.fillInOrder(unit, workers, copy(ended, workers));
-			if (placement.isPresent()) {
-				return Optional.of(new Reservation(unit, new LinkedHashMap<>(placement.get()), run.leftMillis(now)));
+		List<RunEnd> byEnd = new ArrayList<>();
+		for (Worker worker : workers) {
+			worker.runs().forEach((run) -> byEnd.add(new RunEnd(run, run.leftMillis(now))));
+		}
+		byEnd.sort(Comparator.comparingLong(RunEnd::inMillis));
+		int ended = fewestEnds(unit, workers, byEnd);
+		if (ended > byEnd.size()) {
+			return Optional.empty();
+		}
+		Map<TaskState, Worker> placement = Placer.fillInOrder(unit, workers, roomAfter(byEnd.subList(0, ended)))
+			.orElseThrow();
+		return Optional.of(new Reservation(unit, placement, byEnd.get(ended - 1).inMillis()));
+	}
+
+	// The more has ended the more room there is, so the first end after which the unit
+	// fits can be found by halving.
+	private static int fewestEnds(WorkUnit unit, List<Worker> workers, List<RunEnd> byEnd) {
+		int least = 1;
+		int beyond = byEnd.size() + 1;
+		while (least < beyond) {
+			int middle = (least + beyond) >>> 1;
+			if (roomAfter(byEnd.subList(0, middle)).takesAll(workers, unit)) {
+				beyond = middle;
+			}
+			else {
+				least = middle + 1;
 			}
 		}
-		return Optional.empty();
+		return least;
 	}
 
-	private static Rooms copy(Rooms rooms, List<Worker> workers) {
-		Rooms copy = new Rooms();
-		workers.forEach((worker) -> copy.give(worker, rooms.free(worker).minus(worker.free())));
-		return copy;
+	private static Rooms roomAfter(List<RunEnd> ended) {
+		Rooms rooms = Rooms.free();
+		ended.forEach((end) -> rooms.give(end.run().worker(), end.run().room()));
+		return rooms;
+	}
+
+	/**
+	 * A run and when it will probably be over.
+	 *
+	 * @param run the run
+	 * @param inMillis in how many milliseconds
+	 */
+	private record RunEnd(Run run, long inMillis) {
 	}
 
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/WaitingWork.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WaitingWork.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.almondmount.workflow.JobQueue;
@@ -31,6 +33,9 @@
 
 	private GuaranteedJobs guaranteed = GuaranteedJobs.NONE;
 
+	/** Workers by pool and required label, as far as this round has asked for them. */
+	private final Map<List<String>, List<Worker>> eligible = new HashMap<>();
+
 	WaitingWork(SchedulerState state) {
 		this.state = state;
 	}
@@ -41,6 +46,7 @@
 	 */
 	List<WorkUnit> inOrder() {
 		this.guaranteed = GuaranteedJobs.of(this.state);
+		this.eligible.clear();
 		List<WorkUnit> units = new ArrayList<>();
 		for (JobState job : this.state.jobs().values()) {
 			Optional<JobQueue> queue = this.state.queueOf(job);
@@ -81,7 +87,9 @@
 	}
 
 	private void addUnits(List<WorkUnit> units, JobQueue queue, StepState step, boolean guaranteed) {
-		List<Worker> eligible = eligible(queue, step);
+		String label = step.spec().placement().requiredLabel();
+		List<Worker> eligible = this.eligible.computeIfAbsent(List.of(queue.pool(), label),
+				(key) -> eligible(queue.pool(), label));
 		if (eligible.isEmpty()) {
 			return;
 		}
@@ -112,15 +120,14 @@
 		return Math.max(workflow.acceptedAtMillis(), workflow.schedule().dueAt(step.occurrence()));
 	}
 
-	private List<Worker> eligible(JobQueue queue, StepState step) {
-		String label = step.spec().placement().requiredLabel();
+	private List<Worker> eligible(String pool, String label) {
 		List<Worker> eligible = new ArrayList<>();
 		for (Worker worker : this.state.workers().values()) {
 			if (!this.state.mayStartOn(worker)) {
 				continue;
 			}
 			WorkerDescription said = worker.description().orElseThrow();
-			if (said.pool().equals(queue.pool()) && (label.isEmpty() || said.labels().contains(label))) {
+			if (said.pool().equals(pool) && (label.isEmpty() || said.labels().contains(label))) {
 				eligible.add(worker);
 			}
 		}
--- a/core/src/main/java/org/almondmount/workflow/impl/Worker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Worker.java
@@ -30,8 +30,15 @@
 
 	private Optional<WorkerDescription> description = Optional.empty();
 
+	private String rack = "";
+
+	private ResourceAmount capacity = ResourceAmount.NONE;
+
 	private ResourceAmount used = ResourceAmount.NONE;
 
+	/** Kept beside the two that it follows from: placing asks for it at each look. */
+	private ResourceAmount free = ResourceAmount.NONE;
+
 	private long lastHeardMillis;
 
 	private long leavesMillis;
@@ -62,6 +69,9 @@
 
 	void describe(long now, WorkerDescription said) {
 		this.description = Optional.of(said);
+		this.rack = said.rack();
+		this.capacity = said.capacity();
+		this.free = this.capacity.minus(this.used);
 		if (said.draining()) {
 			this.leavesMillis = Math.max(this.leavesMillis, now + said.remainingMillis());
 		}
@@ -76,7 +86,7 @@
 	}
 
 	String rack() {
-		return this.description.map(WorkerDescription::rack).orElse("");
+		return this.rack;
 	}
 
 	String zone() {
@@ -88,11 +98,11 @@
 	}
 
 	ResourceAmount capacity() {
-		return this.description.map(WorkerDescription::capacity).orElse(ResourceAmount.NONE);
+		return this.capacity;
 	}
 
 	ResourceAmount free() {
-		return capacity().minus(this.used);
+		return this.free;
 	}
 
 	Set<Run> runs() {
@@ -101,16 +111,21 @@
 
 	void add(Run run) {
 		if (this.runs.add(run)) {
-			this.used = this.used.plus(run.room());
+			uses(this.used.plus(run.room()));
 		}
 	}
 
 	void remove(Run run) {
 		if (this.runs.remove(run)) {
-			this.used = this.used.minus(run.room());
+			uses(this.used.minus(run.room()));
 		}
 	}
 
+	private void uses(ResourceAmount next) {
+		this.used = next;
+		this.free = this.capacity.minus(next);
+	}
+
 	WorkerHealth health() {
 		return this.health;
 	}
