A cancel that the holder reads before its job counts

What was seen.

An entry that reaches the store and not the holder keeps a cancel as a row beside the job. The holder finds both when it looks at the intake; read anew, as after a forgotten history, rows come by key, `cancel/` before `job/`. It took note of a cancel whose job it did not know, and never looked at that note again. A word of an entry that a job was accepted could overtake the same way.

Ruled out: the cancel was not lost (its row is there), nor was it for a job that was over; the term did not change.

Whenever a job becomes known its note is looked up.

--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -166,6 +166,7 @@
 	void accepted(Workflow job) {
 		if (this.loaded) {
 			feed(new WorkflowEvent.JobAccepted(job));
+			cancelIfWanted(job.id());
 		}
 	}
 
@@ -424,13 +425,23 @@
 		if (row.value().isEmpty()) {
 			return;
 		}
+		String job = Tables.jobOf(row.place());
 		if (Tables.isJob(row.place())) {
-			decode(row, RecordCodec::readWorkflow).ifPresent((job) -> feed(new WorkflowEvent.JobAccepted(job)));
-			return;
+			decode(row, RecordCodec::readWorkflow).ifPresent((found) -> feed(new WorkflowEvent.JobAccepted(found)));
 		}
-		String job = Tables.jobOf(row.place());
-		this.cancelRows.add(job);
-		if (this.scheduler.phase(job).map((phase) -> !phase.over()).orElse(false)) {
+		else {
+			this.cancelRows.add(job);
+		}
+		cancelIfWanted(job);
+	}
+
+	// Rows that are read anew come in the order of their keys, a cancel before its job.
+	// One
+	// that was taken note of for a job not known yet has to count once it is, or the job
+	// would run though its caller was told that it is cancelled.
+	private void cancelIfWanted(String job) {
+		boolean open = this.scheduler.phase(job).map((phase) -> !phase.over()).orElse(false);
+		if (open && this.cancelRows.contains(job)) {
 			feed(new WorkflowEvent.CancelRequested(job));
 		}
 	}
--- a/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
@@ -26,6 +26,7 @@
 import org.almondmount.fleet.entry.FleetEntry;
 import org.almondmount.fleet.target.FleetTarget;
 import org.almondmount.telemetry.Telemetry;
+import org.almondmount.term.TermRow;
 import org.almondmount.workflow.FleetConfiguration;
 import org.almondmount.workflow.FleetCustomer;
 import org.almondmount.workflow.JobPhase;
@@ -147,7 +148,20 @@
 	 * @return the epoch, 0 before the first one
 	 */
 	long epoch() {
-		return this.store.value(Tables.TERM).map((value) -> RecordCodec.readTerm(value).epoch()).orElse(0L);
+		return term().map(TermRow::epoch).orElse(0L);
+	}
+
+	/**
+	 * An entry that does not hold the term.
+	 * @return the first one
+	 */
+	EntryProcess anyButTheHolder() {
+		String holder = term().map(TermRow::address).orElse("");
+		return entries().stream().filter((entry) -> !holder.endsWith(":" + entry.port)).findFirst().orElseThrow();
+	}
+
+	private Optional<TermRow> term() {
+		return this.store.value(Tables.TERM).map(RecordCodec::readTerm);
 	}
 
 	void runFor(long millis) {
@@ -327,6 +341,10 @@
 			return this.entry.submit(job, PATIENCE);
 		}
 
+		CompletableFuture<JobAnswer> cancel(String job) {
+			return this.entry.cancel(job, 2_000);
+		}
+
 		FleetConfiguration configuration() {
 			return this.entry.configuration();
 		}
--- a/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
@@ -26,12 +26,19 @@
 
 	private static final long FIRST_SEED = Long.getLong("almondmount.firstSeed", 1);
 
+	/**
+	 * Seeds that once broke a promise. 379, 658: a cancel was read before its job and did not
+	 * count.
+	 */
+	private static final long[] ONCE_BROKEN = { 379, 658 };
+
 	private static final long TROUBLE_MILLIS = 30_000;
 
 	private static final long QUIET_MILLIS = 60_000;
 
 	static LongStream seeds() {
-		return LongStream.range(FIRST_SEED, FIRST_SEED + SEEDS);
+		return LongStream.concat(LongStream.of(ONCE_BROKEN), LongStream.range(FIRST_SEED, FIRST_SEED + SEEDS))
+			.distinct();
 	}
 
 	@Test
