Targets look for the holder at a few entries first, and are told by any of them

A target dials two entries, its own ones by its name, and one more every second turn of its search. An entry that hears of a new holder from another entry tells its targets at once, not only when it reads the term's row itself.

Ruled out: dialling fewer entries for good (the two may be gone or cut off from the holder; all are dialled in the end); listening for peers later (entries tell each other of the term and of the configuration while the store is away).

--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -372,7 +372,7 @@
 			return;
 		}
 		if (message instanceof Message.EntryHeartbeat word) {
-			holderWord(connection.peer().address(), word);
+			holderWord(connection.peer(), word);
 			this.news.tell(connection, word.revision());
 		}
 		else if (message instanceof Message.Forward call) {
@@ -385,9 +385,9 @@
 
 	// A word that names an epoch and does not hold it is that epoch's holder giving it
 	// up.
-	private void holderWord(String address, Message.EntryHeartbeat word) {
+	private void holderWord(PeerInfo peer, Message.EntryHeartbeat word) {
 		if (word.holder()) {
-			this.term.holderHeard(word.epoch(), address);
+			this.term.holderHeard(word.epoch(), peer.name(), peer.address());
 		}
 		else if (word.epoch() > 0) {
 			this.term.holderQuit(word.epoch());
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
@@ -102,11 +102,14 @@
 	/**
 	 * An entry says that it holds the term.
 	 * @param epoch the epoch
+	 * @param entry its name
 	 * @param address where it accepts peers
 	 */
-	void holderHeard(long epoch, String address) {
+	void holderHeard(long epoch, String entry, String address) {
 		if (epoch > this.holder.map(TermRow::epoch).orElse(0L)) {
-			this.holder = Optional.of(new TermRow("", address, epoch, 0, 0, false));
+			TermRow heard = new TermRow(entry, address, epoch, 0, 0, false);
+			this.holder = Optional.of(heard);
+			this.listener.holderSeen(heard);
 		}
 		feed(new TermEvent.HolderHeard(epoch));
 	}
--- a/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
+++ b/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
@@ -62,7 +62,7 @@
 
 	private final WorkerKeeper keeper;
 
-	private final HolderSearch search = new HolderSearch(this::dial);
+	private final HolderSearch search;
 
 	private int searches;
 
@@ -85,6 +85,7 @@
 		this.telemetry = telemetry;
 		this.self = new PeerInfo(PeerInfo.Role.TARGET, settings.name(), "", settings.zone(), Optional.empty(), 0,
 				loop.wallMillis());
+		this.search = new HolderSearch(settings.name(), this::dial);
 		this.keeper = new WorkerKeeper(settings.name(), WorkerPolicy.DEFAULT);
 	}
 
--- a/fleet/src/main/java/org/almondmount/fleet/target/HolderSearch.java
+++ b/fleet/src/main/java/org/almondmount/fleet/target/HolderSearch.java
@@ -1,12 +1,14 @@
 package org.almondmount.fleet.target;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 
 import org.almondmount.wire.CloseReason;
@@ -15,15 +17,30 @@
 /**
  * Finds the entry that holds the term. Belongs to the loop's thread.
  * <p>
- * While it is not known, all entries that were ever heard of are dialled, and each says
- * whether it is the holder or who is. Once it is found the other connections are closed:
- * they would only cost heartbeats.
+ * Any entry says whether it is the holder or, as soon as it knows, who is. So a few are
+ * dialled at first, other ones by each target, and one more now and then, since an entry
+ * may be cut off from the holder itself. Were all targets to dial all entries after a
+ * loss of power, the entries would be busy with connections for seconds, while callers
+ * and the term wait. Once the holder is found the other connections are closed: they
+ * would only cost heartbeats.
  */
 final class HolderSearch {
 
+	/** So that one that is gone or knows nothing does not cost a turn. */
+	private static final int FIRST_DIALLED = 2;
+
+	/**
+	 * Turns until one more entry is dialled: somewhat longer than an entry that reaches
+	 * the others takes to hear of a holder.
+	 */
+	private static final int TURNS_TO_ONE_MORE = 2;
+
 	private final Consumer<String> dialler;
 
-	private final Set<String> known = new LinkedHashSet<>();
+	/** Decides with which entry this target begins. */
+	private final int place;
+
+	private final TreeSet<String> known = new TreeSet<>();
 
 	private final Set<String> dialling = new LinkedHashSet<>();
 
@@ -33,7 +50,10 @@
 
 	private long epoch;
 
-	HolderSearch(Consumer<String> dialler) {
+	private int turns;
+
+	HolderSearch(String target, Consumer<String> dialler) {
+		this.place = target.hashCode();
 		this.dialler = dialler;
 	}
 
@@ -57,10 +77,26 @@
 		}
 	}
 
+	/** Takes a turn of the search while the holder is not known. */
 	void search() {
-		if (this.holder.isEmpty()) {
-			List.copyOf(this.known).forEach(this::dial);
+		if (this.holder.isPresent()) {
+			return;
+		}
+		int wanted = FIRST_DIALLED + this.turns++ / TURNS_TO_ONE_MORE;
+		for (String address : inOwnOrder()) {
+			if (this.open.size() + this.dialling.size() >= wanted) {
+				return;
+			}
+			dial(address);
+		}
+	}
+
+	private List<String> inOwnOrder() {
+		List<String> order = new ArrayList<>(this.known);
+		if (!order.isEmpty()) {
+			Collections.rotate(order, Math.floorMod(this.place, order.size()));
 		}
+		return order;
 	}
 
 	void dial(String address) {
@@ -109,6 +145,7 @@
 			return false;
 		}
 		this.epoch = heldEpoch;
+		this.turns = 0;
 		this.holder = Optional.of(connection);
 		List<PeerConnection> others = new ArrayList<>(this.open.values());
 		others.remove(connection);
--- a/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
@@ -27,8 +27,8 @@
 	private static final long FIRST_SEED = Long.getLong("almondmount.firstSeed", 1);
 
 	/**
-	 * Seeds that once broke a promise. 379, 658: a cancel was read before its job and did not
-	 * count.
+	 * Seeds that once broke a promise. 379, 658: a cancel was read before its job and did
+	 * not count.
 	 */
 	private static final long[] ONCE_BROKEN = { 379, 658 };
 
