A guarantee does not clear a rack for many times its own work

For a guaranteed gang the dearest part of the choice is looked at: where clearing room over several racks and running three times as long there loses less than clearing one rack, that is done. Room that was cleared over several racks is then taken there, though placing looks at single racks only.

Ruled out: letting guaranteed work wait for room that comes by itself (the bound of reclaiming is hard, and what is left of runs is a guess).

GuaranteedGangTests, two tests, fail before: a rack of a gang that ran for 50 s was cleared, and nothing would have started across racks.

--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -98,7 +98,8 @@
 	}
 
 	private void place(WorkUnit unit) {
-		Optional<Map<TaskState, Worker>> found = this.placer.place(unit, unit.workers(), () -> roomFor(unit));
+		Optional<Map<TaskState, Worker>> found = this.placer.place(unit, unit.workers(), () -> roomFor(unit))
+			.or(() -> whereRoomWasCleared(unit));
 		if (found.isPresent()) {
 			this.cleared.remove(unit.first());
 			this.ledger.open(unit, found.get());
@@ -121,6 +122,17 @@
 		}
 	}
 
+	// Room that was cleared over several racks is not found where only whole racks are
+	// looked at.
+	private Optional<Map<TaskState, Worker>> whereRoomWasCleared(WorkUnit unit) {
+		Map<TaskState, Worker> cleared = this.cleared.get(unit.first());
+		if (cleared == null) {
+			return Optional.empty();
+		}
+		List<Worker> workers = cleared.values().stream().distinct().filter(unit.workers()::contains).toList();
+		return Placer.fillInOrder(unit, workers, roomFor(unit));
+	}
+
 	private void reserve(WorkUnit unit) {
 		earliest(unit).ifPresent(this.reservations::add);
 	}
@@ -144,7 +156,7 @@
 			return;
 		}
 		if (unit.guaranteed()) {
-			plan(unit, this::mayGiveWay).or(() -> plan(unit, this::isBeyondGuarantee))
+			planForGuarantee(unit, this::mayGiveWay).or(() -> planForGuarantee(unit, this::isBeyondGuarantee))
 				.ifPresent((plan) -> giveWay(unit, plan));
 		}
 		else if (this.state.has(SchedulerFeature.GIVE_WAY_TO_URGENT) && unit.queue().urgent()
@@ -185,6 +197,22 @@
 		return task.idle() && !task.done() && !this.cleared.containsKey(task);
 	}
 
+	// A guarantee is reclaimed at any price, so the price is looked at before: clearing
+	// one
+	// rack may throw away many times the work that a gang loses by running slowly over
+	// several ones.
+	private Optional<Preemption.Plan> planForGuarantee(WorkUnit unit, Predicate<Run> mayGiveWay) {
+		Optional<Preemption.Plan> asPlaced = plan(unit, mayGiveWay);
+		if (asPlaced.isEmpty() || !unit.wantsOneRack()) {
+			return asPlaced;
+		}
+		double slowness = Outlook.coreSeconds(unit.step(), unit.tasks().size()) * (Placer.TIMES_ACROSS_RACKS - 1);
+		return this.preemption
+			.planWithin(this.state.steadyMillis(), unit, unit.workers(), () -> roomFor(unit), mayGiveWay)
+			.filter((anywhere) -> anywhere.cost() + slowness < asPlaced.get().cost())
+			.or(() -> asPlaced);
+	}
+
 	private Optional<Preemption.Plan> plan(WorkUnit unit, Predicate<Run> mayGiveWay) {
 		return this.preemption.plan(this.state.steadyMillis(), unit, unit.workers(), () -> roomFor(unit), mayGiveWay);
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/Placer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -23,6 +23,9 @@
  */
 final class Placer {
 
+	/** How many times as long a gang that wants one rack takes over several. */
+	static final double TIMES_ACROSS_RACKS = 3;
+
 	/** More than the room of a whole worker, so that the near rack always wins. */
 	private static final double FAR_COST = 10;
 
--- a/core/src/main/java/org/almondmount/workflow/impl/Preemption.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Preemption.java
@@ -63,7 +63,16 @@
 		return Optional.ofNullable(best);
 	}
 
-	private Optional<Plan> planWithin(long now, WorkUnit unit, List<Worker> workers, Supplier<Rooms> room,
+	/**
+	 * Chooses a placement over all of the workers, in whatever racks, and what gives way.
+	 * @param now the steady clock
+	 * @param unit the unit
+	 * @param workers those that it may take
+	 * @param room makes the room that is there for the unit; called for each try
+	 * @param mayGiveWay the runs that may be stopped
+	 * @return the plan, or empty where even that would not make room
+	 */
+	Optional<Plan> planWithin(long now, WorkUnit unit, List<Worker> workers, Supplier<Rooms> room,
 			Predicate<Run> mayGiveWay) {
 		Rooms cleared = room.get();
 		Set<Run> candidates = new HashSet<>();
