A commit of the term that fails says its rows, bytes, time and the store's answer

Why a holder's term ended could not be told from the log: a commit that is too large, a store that turns this entry away, an answer that is read too late, all read "the store does not take this entry's commits".

--- a/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
@@ -192,7 +192,7 @@
 		if (commit.save() != 0) {
 			writes.addAll(this.saves.apply(commit.save()));
 		}
-		CommitCall call = new CommitCall(commit.row().commit(), this.loop.steadyMillis());
+		CommitCall call = new CommitCall(commit.row().commit(), writes, this.loop.steadyMillis());
 		this.loop.then(this.store.commit(List.of(new Condition(Tables.TERM, commit.expectedVersion())), writes,
 				StorePatience.longest()), (ending) -> ended(call, ending));
 		this.loop.after(this.patience.timeout().toMillis(), () -> overdue(call));
@@ -211,6 +211,7 @@
 	}
 
 	private void unanswered(CommitCall call, String why) {
+		explain(call, "unanswered", why);
 		this.patience.silent();
 		storeSilent(why + " after " + (this.loop.steadyMillis() - call.sentAt) + " ms");
 		feed(new TermEvent.Unanswered(call.number));
@@ -236,6 +237,7 @@
 		}
 		else if (ending instanceof RowStore.Commit.Refused refused) {
 			storeSilent(refused.why());
+			explain(call, "refused", refused.why());
 			feed(new TermEvent.Refused(number));
 		}
 		else if (ending instanceof RowStore.Commit.Unanswered unanswered) {
@@ -243,6 +245,15 @@
 		}
 	}
 
+	// A term ends by its commits; which of them, and how large they were, is all that
+	// tells
+	// a slow store from one that turns this entry away and from a holder that is slow
+	// itself.
+	private void explain(CommitCall call, String ending, String why) {
+		LOG.warn("term-commit-" + ending, "epoch", this.keeper.epoch(), "commit", call.number, "rows", call.rows,
+				"bytes", call.bytes, "millis", this.loop.steadyMillis() - call.sentAt, "why", why);
+	}
+
 	private void storeSilent(String why) {
 		this.telemetry.count("term.store-failed");
 		if (this.storeAnswers) {
@@ -276,6 +287,10 @@
 
 		private final long number;
 
+		private final int rows;
+
+		private final int bytes;
+
 		private final long sentAt;
 
 		private boolean answered;
@@ -283,8 +298,10 @@
 		/** Whether it was sent again meanwhile. */
 		private boolean overdue;
 
-		CommitCall(long number, long sentAt) {
+		CommitCall(long number, List<Write> writes, long sentAt) {
 			this.number = number;
+			this.rows = writes.size();
+			this.bytes = writes.stream().mapToInt((write) -> write.value().map(String::length).orElse(0)).sum();
 			this.sentAt = sentAt;
 		}
 
