Room is kept for a gang only while half of the fleet works

A gang about as wide as the fleet that waits for one long run had all other workers kept for it, whatever waited beside them: PlacementRulesTests plays it, four workers, one busy, eight small tasks wait for nothing.

A reservation is made only while at least half of the fleet, in the dimension that is scarcest, is in use. Work that fits fills the fleet up to there, then room is kept as before. Half is the users' own bound: a job must not stand still while under half of the capacity is in use.

Ruled out: no reservations at all (smallWorkDoesNotStarveAGangThatWaits fails, as it should); cores alone as the measure (a fleet whose accelerators are all taken would count as idle).

Test. roomIsNotKeptForAGangWhileMostOfTheFleetStandsIdle fails before; roomIsKeptForAGangOnceHalfOfTheFleetWorks.

--- a/core/src/main/java/org/almondmount/workflow/ResourceAmount.java
+++ b/core/src/main/java/org/almondmount/workflow/ResourceAmount.java
@@ -70,6 +70,16 @@
 				+ share(this.accelerators, whole.accelerators);
 	}
 
+	/**
+	 * How much of a whole this amount is, in the dimension of which it takes most.
+	 * @param whole what there is
+	 * @return the largest of the shares, 0 for nothing
+	 */
+	public double dominantShareOf(ResourceAmount whole) {
+		double share = Math.max(share(this.cpuMillis, whole.cpuMillis), share(this.memoryMb, whole.memoryMb));
+		return Math.max(share, share(this.accelerators, whole.accelerators));
+	}
+
 	/**
 	 * The amount as cores, an accelerator counting for eight of them.
 	 * @return cores
--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 
 import org.almondmount.workflow.JobQueue;
+import org.almondmount.workflow.ResourceAmount;
 import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.WorkOutcome;
 
@@ -22,6 +23,9 @@
 	/** The first units that do not fit; more would leave the fleet idle for guesses. */
 	private static final int MOST_RESERVATIONS = 2;
 
+	/** Part of the fleet's room that may stand idle beside work that would fit. */
+	private static final double MOST_KEPT_IDLE = 0.5;
+
 	/**
 	 * Work that an urgent job beyond its guarantee may have thrown away, in parts of its
 	 * own. An urgent result is worth about three times as much to its caller as the same
@@ -134,7 +138,22 @@
 	}
 
 	private void reserve(WorkUnit unit) {
-		earliest(unit).ifPresent(this.reservations::add);
+		if (halfOfTheFleetWorks(unit)) {
+			earliest(unit).ifPresent(this.reservations::add);
+		}
+	}
+
+	// A gang that is nearly as wide as the fleet would keep all of it idle until the last
+	// run ends that stands in its way, and every other caller would wait before free
+	// workers. Work that fits takes them until half of the fleet is in use.
+	private static boolean halfOfTheFleetWorks(WorkUnit unit) {
+		ResourceAmount whole = ResourceAmount.NONE;
+		ResourceAmount free = ResourceAmount.NONE;
+		for (Worker worker : unit.workers()) {
+			whole = whole.plus(worker.capacity());
+			free = free.plus(worker.free());
+		}
+		return whole.minus(free).dominantShareOf(whole) >= 1 - MOST_KEPT_IDLE;
 	}
 
 	private Optional<Reservation> earliest(WorkUnit unit) {
--- a/core/src/test/java/org/almondmount/workflow/PlacementRulesTests.java
+++ b/core/src/test/java/org/almondmount/workflow/PlacementRulesTests.java
@@ -123,4 +123,24 @@
 				new ServiceTerms(true, "image", latencyTarget, fills, mayMiss));
 	}
 
+	// A gang as wide as the fleet waits for one run that will take long. Kept for the
+	// gang,
+	// three free workers of four would stand idle for as long, and the caller of a small
+	// job would see nothing begin though there is room for it many times over.
+	@Test
+	void roomIsNotKeptForAGangWhileMostOfTheFleetStandsIdle() {
+		begin(4);
+		startsOf(job("long", 2, step(1, 8))).forEach(this::run);
+		assertThat(startsOf(job("wide", 1, gang(4, 8)))).isEmpty();
+		assertThat(startsOf(job("small", 2, step(8, 1)))).hasSize(8);
+	}
+
+	@Test
+	void roomIsKeptForAGangOnceHalfOfTheFleetWorks() {
+		begin(4);
+		startsOf(job("long", 2, step(3, 8))).forEach(this::run);
+		assertThat(startsOf(job("wide", 1, gang(4, 8)))).isEmpty();
+		assertThat(startsOf(job("small", 2, step(8, 1)))).isEmpty();
+	}
+
 }
