--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -216,8 +216,7 @@
 		return task.idle() && !task.done() && !this.cleared.containsKey(task);
 	}
 
-	// A guarantee is reclaimed at any price, so the price is looked at before: clearing
-	// one
+	// A guarantee is reclaimed at any price, so the price is looked at before: to clear a
 	// rack may throw away many times the work that a gang loses by running slowly over
 	// several ones.
 	private Optional<Preemption.Plan> planForGuarantee(WorkUnit unit, Predicate<Run> mayGiveWay) {
--- a/core/src/test/java/org/almondmount/workflow/PlacementRulesTests.java
+++ b/core/src/test/java/org/almondmount/workflow/PlacementRulesTests.java
@@ -123,8 +123,7 @@
 				new ServiceTerms(true, "image", latencyTarget, fills, mayMiss));
 	}
 
-	// A gang as wide as the fleet waits for one run that will take long. Kept for the
-	// gang,
+	// A gang as wide as the fleet waits for one run that will take long. Kept for it,
 	// three free workers of four would stand idle for as long, and the caller of a small
 	// job would see nothing begin though there is room for it many times over.
 	@Test
--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -435,10 +435,9 @@
 		cancelIfWanted(job);
 	}
 
-	// Rows that are read anew come in the order of their keys, a cancel before its job.
-	// One
-	// that was taken note of for a job not known yet has to count once it is, or the job
-	// would run though its caller was told that it is cancelled.
+	// Rows read anew come in the order of their keys, a cancel before its job. It has to
+	// count once the job is known, or the job would run though its caller was told that
+	// it is cancelled.
 	private void cancelIfWanted(String job) {
 		boolean open = this.scheduler.phase(job).map((phase) -> !phase.over()).orElse(false);
 		if (open && this.cancelRows.contains(job)) {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
@@ -245,10 +245,9 @@
 		}
 	}
 
-	// A term ends by its commits; which of them, and how large they were, is all that
-	// tells
-	// a slow store from one that turns this entry away and from a holder that is slow
-	// itself.
+	// A term ends by its commits. Which of them failed, and how large they were, is all
+	// that tells a slow store from one that turns this entry away, and from a holder that
+	// is slow itself.
 	private void explain(CommitCall call, String ending, String why) {
 		LOG.warn("term-commit-" + ending, "epoch", this.keeper.epoch(), "commit", call.number, "rows", call.rows,
 				"bytes", call.bytes, "millis", this.loop.steadyMillis() - call.sentAt, "why", why);
