--- a/core/src/main/java/org/almondmount/workflow/PlacementPace.java
+++ b/core/src/main/java/org/almondmount/workflow/PlacementPace.java
@@ -5,11 +5,11 @@
  * it.
  * <p>
  * It answers bursts of events, such as the reports and refusals of all workers after a
- * loss of power. A holder that placed after each of them was busy for seconds; its
- * renewals waited behind, its term ended, and the next holder fared no better, so that
- * nothing ran at all. Placed once for all that has arrived, and at most half of the time,
- * the same work leaves the holder time for its term, whatever the size of the fleet and
- * the speed of its machine.
+ * loss of power. A holder that places after each of them is busy for seconds; its
+ * renewals wait behind, its term ends, and the next holder fares no better, so that
+ * nothing runs at all. Placed once for all that has arrived, and at most half of the
+ * time, the same work leaves the holder time for its term, whatever the size of the fleet
+ * and the speed of its machine.
  */
 public final class PlacementPace {
 
--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -40,15 +40,14 @@
 	private static final double NEXT_TO_NOTHING = 0.1;
 
 	/**
-	 * Nothing gives way so early in a term, in milliseconds. Targets that live find a new
-	 * holder within 0.1 s; after a loss of all power the last ones come 0.8 s after the
-	 * term began.
+	 * Nothing gives way so early in a term, in milliseconds: targets come to a new holder
+	 * one after the other, and room that is not known yet looks like no room.
 	 */
 	private static final long SETTLING_MILLIS = 1_000;
 
 	/**
-	 * A guarantee does not wait for the last of them: it has to be reclaimed within 2.7
-	 * s, of which a stop takes up to 0.9 s.
+	 * A guarantee does not wait for the last of them, in milliseconds: it has a bound of
+	 * its own, of which a stop takes a part.
 	 */
 	private static final long GUARANTEE_SETTLING_MILLIS = 300;
 
@@ -163,9 +162,8 @@
 		return Reservation.earliest(this.state.steadyMillis(), unit, choices);
 	}
 
-	// Workers tell of themselves one after the other when a term begins. Room that is not
-	// known yet looks like no room: in one change of holders four runs gave way, 1,130
-	// core-seconds, to a job that found free workers 20 ms later.
+	// Workers tell of themselves one after the other when a term begins. Runs would be
+	// stopped for a job that finds free workers a moment later.
 	private boolean knowsTheFleet(WorkUnit unit) {
 		return this.state.termAgeMillis() >= (unit.guaranteed() ? GUARANTEE_SETTLING_MILLIS : SETTLING_MILLIS);
 	}
