Racks are grouped in one place; a plan is not made twice where no rack could hold it

Read again: the grouping of workers by rack stood twice in Placer, and a guaranteed gang that no rack could hold had the same plan over all workers made a second time, to be compared with itself. HolderSearch names its set by its interface.

--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -219,7 +219,7 @@
 	// several ones.
 	private Optional<Preemption.Plan> planForGuarantee(WorkUnit unit, Predicate<Run> mayGiveWay) {
 		Optional<Preemption.Plan> asPlaced = plan(unit, mayGiveWay);
-		if (asPlaced.isEmpty() || !unit.wantsOneRack()) {
+		if (asPlaced.isEmpty() || !this.placer.goesInOneRack(unit, unit.workers())) {
 			return asPlaced;
 		}
 		double slowness = Outlook.coreSeconds(unit.step(), unit.tasks().size()) * (Placer.TIMES_ACROSS_RACKS - 1);
--- a/core/src/main/java/org/almondmount/workflow/impl/Placer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -70,10 +69,7 @@
 	 * @return their racks
 	 */
 	List<List<Worker>> racks(WorkUnit unit, List<Worker> workers) {
-		Map<String, List<Worker>> racks = new LinkedHashMap<>();
-		for (Worker worker : workers) {
-			racks.computeIfAbsent(worker.rack(), (rack) -> new ArrayList<>()).add(worker);
-		}
+		Map<String, List<Worker>> racks = byRack(workers);
 		String near = unit.step().spec().placement().dataRack();
 		List<RackChoice> choices = new ArrayList<>(racks.size());
 		racks.forEach((rack, members) -> choices.add(new RackChoice(members, rack.equals(near), freeShare(members))));
@@ -95,11 +91,15 @@
 
 	private boolean anyRackCouldHold(WorkUnit unit, List<Worker> workers) {
 		Rooms empty = Rooms.empty();
-		Map<String, List<Worker>> racks = new HashMap<>();
+		return byRack(workers).values().stream().anyMatch((rack) -> empty.takesAll(rack, unit));
+	}
+
+	private static Map<String, List<Worker>> byRack(List<Worker> workers) {
+		Map<String, List<Worker>> racks = new LinkedHashMap<>();
 		for (Worker worker : workers) {
 			racks.computeIfAbsent(worker.rack(), (rack) -> new ArrayList<>()).add(worker);
 		}
-		return racks.values().stream().anyMatch((rack) -> empty.takesAll(rack, unit));
+		return racks;
 	}
 
 	// Most of what waits does not fit, and is found out without putting workers in order.
--- a/fleet/src/main/java/org/almondmount/fleet/target/HolderSearch.java
+++ b/fleet/src/main/java/org/almondmount/fleet/target/HolderSearch.java
@@ -40,7 +40,7 @@
 	/** Decides with which entry this target begins. */
 	private final int place;
 
-	private final TreeSet<String> known = new TreeSet<>();
+	private final Set<String> known = new TreeSet<>();
 
 	private final Set<String> dialling = new LinkedHashSet<>();
 
