Orders that do not arrive say so: undelivered, ignored, inherited

- order-undelivered and orders.undelivered.*: the holder has no connection to the target, or its term is over
- order-ignored and orders.ignored.*: the target heard of a later holder, or the order means another life of the worker
- job-inherited: phase and open runs of a job that a new holder takes over

No decision changes.

--- a/core/src/main/java/org/almondmount/worker/WorkerCommand.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerCommand.java
@@ -54,6 +54,18 @@
 	record SendNotBegun(TaskId task, int run, String why) implements WorkerCommand {
 	}
 
+	/**
+	 * Count an order that is not carried out.
+	 *
+	 * @param order the kind of order
+	 * @param task the task that it is about
+	 * @param run the task's run
+	 * @param epoch the epoch of the holder that sent it
+	 * @param why the reason
+	 */
+	record IgnoreOrder(String order, TaskId task, int run, long epoch, IgnoredReason why) implements WorkerCommand {
+	}
+
 	/** A decision that an administrator may want to read later. */
 	record Explain(String event, Object[] keysAndValues) implements WorkerCommand {
 
--- a/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
@@ -196,16 +196,13 @@
 	// heartbeat it had heard. After that the holder takes for granted that nothing of the
 	// order runs, and an order that a cut connection delivers late must not begin a run.
 	private void startOrdered(long now, WorkerEvent.StartOrdered order) {
-		if (order.epoch() < this.epoch) {
+		if (ignored("start", order.epoch(), order.life(), order.task(), order.run())) {
 			return;
 		}
 		String key = key(order.task(), order.run());
 		if (this.orders.containsKey(key) || isListed(order.task(), order.run())) {
 			return;
 		}
-		if (!order.life().equals(this.life)) {
-			return;
-		}
 		OrderedRun run = new OrderedRun(order);
 		this.orders.put(key, run);
 		Optional<String> refusal = refusal(now, order);
@@ -221,6 +218,15 @@
 		sendStop(run);
 	}
 
+	private boolean ignored(String order, long sent, WorkerLife meant, TaskId task, int run) {
+		if (sent >= this.epoch && meant.equals(this.life)) {
+			return false;
+		}
+		IgnoredReason why = (sent < this.epoch) ? IgnoredReason.OLD_EPOCH : IgnoredReason.ANOTHER_LIFE;
+		this.commands.add(new WorkerCommand.IgnoreOrder(order, task, run, sent, why));
+		return true;
+	}
+
 	private Optional<String> refusal(long now, WorkerEvent.StartOrdered order) {
 		Long sent = this.heartbeats.get(order.heartbeat());
 		if (sent == null || leaseUntilByWorker(now) == 0) {
@@ -239,7 +245,7 @@
 	}
 
 	private void stopOrdered(long now, WorkerEvent.StopOrdered order) {
-		if (order.epoch() < this.epoch || !order.life().equals(this.life)) {
+		if (ignored("stop", order.epoch(), order.life(), order.task(), order.run())) {
 			return;
 		}
 		String key = key(order.task(), order.run());
--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -160,6 +160,10 @@
 		JobState job = new JobState(kept.job());
 		this.state.jobs().put(job.id(), job);
 		kept.progress().ifPresent((progress) -> restore(job, progress));
+		int openRuns = job.openRuns().size();
+		if (openRuns > 0) {
+			this.state.explain("job-inherited", "job", job.id(), "phase", job.phase(), "openRuns", openRuns);
+		}
 		if (kept.cancelled()) {
 			cancel(job.id());
 		}
--- a/core/src/test/java/org/almondmount/worker/WorkerKeeperTests.java
+++ b/core/src/test/java/org/almondmount/worker/WorkerKeeperTests.java
@@ -79,6 +79,18 @@
 		assertThat(this.commands).noneMatch(WorkerCommand.Start.class::isInstance);
 	}
 
+	// Guards against orders that vanish without a trace.
+	@Test
+	void anOrderOfAnEarlierHolderOrForAnotherLifeIsIgnoredAndSaysWhy() {
+		ready();
+		feed(new WorkerEvent.HolderFound(2));
+		feed(new WorkerEvent.StopOrdered(1, LIFE, TASK, 1));
+		feed(new WorkerEvent.StopOrdered(2, new WorkerLife("w", 400), TASK, 1));
+		assertThat(this.commands).noneMatch(WorkerCommand.Stop.class::isInstance)
+			.contains(new WorkerCommand.IgnoreOrder("stop", TASK, 1, 1, IgnoredReason.OLD_EPOCH),
+					new WorkerCommand.IgnoreOrder("stop", TASK, 1, 2, IgnoredReason.ANOTHER_LIFE));
+	}
+
 	// The process has just started. A look goes out before the worker has told its name
 	// and is answered after it has. The holder's orders name the worker and have to be
 	// obeyed.
--- a/daemon/src/main/java/org/almondmount/daemon/cli/JobTrace.java
+++ b/daemon/src/main/java/org/almondmount/daemon/cli/JobTrace.java
@@ -63,6 +63,7 @@
 		findings.addAll(endings(job, lines));
 		findings.addAll(work(job, lines));
 		findings.addAll(lost(lines));
+		findings.addAll(orders(lines));
 		findings.add(ended(lines));
 		return findings;
 	}
@@ -135,6 +136,19 @@
 		return lost.stream().distinct().toList();
 	}
 
+	private static List<String> orders(List<LogLine> lines) {
+		Map<String, Integer> counts = new TreeMap<>();
+		for (LogLine line : lines) {
+			if (line.event().equals("order-undelivered") || line.event().equals("order-ignored")) {
+				counts.merge(line.value("order") + " " + line.event() + " (" + line.value("why") + ")", 1,
+						Integer::sum);
+			}
+		}
+		List<String> orders = new ArrayList<>();
+		counts.forEach((order, count) -> orders.add("Seen " + order + ": " + count + "."));
+		return orders;
+	}
+
 	private static String ended(List<LogLine> lines) {
 		for (String event : List.of("job-completed", "job-failed", "job-cancelled")) {
 			Optional<LogLine> end = first(lines, event);
--- a/daemon/src/test/java/org/almondmount/daemon/cli/TraceCommandTests.java
+++ b/daemon/src/test/java/org/almondmount/daemon/cli/TraceCommandTests.java
@@ -73,6 +73,17 @@
 		assertThat(text(this.out)).contains("finding: It was never accepted: REFUSED, because store silent.");
 	}
 
+	@Test
+	void saysWhichOrdersDidNotReachTheirTarget() throws IOException {
+		String stop = "time=%d event=order-undelivered order=stop task=" + JOB
+				+ ".0.0.0 run=1 why=TARGET_NOT_CONNECTED%n";
+		String log = stop.formatted(5) + stop.formatted(6)
+				+ "time=7 event=order-ignored order=stop task=%s.0.0.0 run=1 why=OLD_EPOCH%n".formatted(JOB);
+		run("trace", JOB, file("holder.log", log));
+		assertThat(text(this.out)).contains("finding: Seen stop order-undelivered (TARGET_NOT_CONNECTED): 2.")
+			.contains("finding: Seen stop order-ignored (OLD_EPOCH): 1.");
+	}
+
 	@Test
 	void failsWhereNoLineNamesTheJob() throws IOException {
 		assertThat(run("trace", "0000000000000000", file("entry.log", ENTRY))).isEqualTo(ExitStatus.FAILED);
--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -27,6 +27,7 @@
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.JobRecord;
 import org.almondmount.workflow.PlacementPace;
+import org.almondmount.workflow.TaskId;
 import org.almondmount.workflow.WorkOutcome;
 import org.almondmount.workflow.Workflow;
 import org.almondmount.workflow.WorkflowCommand;
@@ -45,6 +46,9 @@
 	/** Core-seconds of work that is over, by what became of it. */
 	private static final String WORK = "work";
 
+	/** Orders that did not leave for their target, by reason. */
+	private static final String UNDELIVERED = "orders.undelivered";
+
 	/** What a round of placing waiting work takes. */
 	private static final String PLACEMENT = "placement";
 
@@ -112,6 +116,7 @@
 		this.targets = targets;
 		this.leaseMillis = leaseMillis;
 		telemetry.declare(WORK, WorkOutcome.class);
+		telemetry.declare(UNDELIVERED, UndeliveredReason.class);
 	}
 
 	void start() {
@@ -267,28 +272,38 @@
 				waiting.forEach((taker) -> taker.accept(true));
 			}
 		}
-		else if (this.term.mayDecide()) {
-			order(command);
-		}
-	}
-
-	private void order(WorkflowCommand command) {
-		long epoch = this.term.epoch();
-		if (command instanceof WorkflowCommand.StartRun start) {
-			this.telemetry.count("orders.start");
-			this.targets.send(start.target(), (heartbeat) -> new Message.RunStart(epoch, heartbeat, start.life(),
-					start.task(), start.run(), start.program(), start.checkpoint()));
+		else if (command instanceof WorkflowCommand.StartRun start) {
+			order("start", start.target(), start.task(), start.run(), (epoch, heartbeat) -> new Message.RunStart(epoch,
+					heartbeat, start.life(), start.task(), start.run(), start.program(), start.checkpoint()));
 		}
 		else if (command instanceof WorkflowCommand.StopRun stop) {
-			this.telemetry.count("orders.stop");
-			this.targets.send(stop.target(),
-					(heartbeat) -> new Message.RunStop(epoch, stop.life(), stop.task(), stop.run()));
+			order("stop", stop.target(), stop.task(), stop.run(),
+					(epoch, heartbeat) -> new Message.RunStop(epoch, stop.life(), stop.task(), stop.run()));
 		}
-		else if (command instanceof WorkflowCommand.AcknowledgeEnds ends) {
+		else if (command instanceof WorkflowCommand.AcknowledgeEnds ends && this.term.mayDecide()) {
+			long epoch = this.term.epoch();
 			this.targets.send(ends.target(), (heartbeat) -> new Message.EndsKept(epoch, ends.life(), ends.upTo()));
 		}
 	}
 
+	private void order(String kind, String target, TaskId task, int run, OrderMessage message) {
+		if (!this.term.mayDecide()) {
+			undelivered(kind, target, task, run, UndeliveredReason.TERM_OVER);
+			return;
+		}
+		long epoch = this.term.epoch();
+		this.telemetry.count("orders." + kind);
+		if (!this.targets.send(target, (heartbeat) -> message.of(epoch, heartbeat))) {
+			undelivered(kind, target, task, run, UndeliveredReason.TARGET_NOT_CONNECTED);
+		}
+	}
+
+	private void undelivered(String kind, String target, TaskId task, int run, UndeliveredReason why) {
+		this.telemetry.count(UNDELIVERED, why);
+		LOG.info("order-undelivered", "order", kind, "task", task, "run", run, "target", target, "epoch",
+				this.loadingEpoch, "why", why);
+	}
+
 	// A job counts as accepted while its row of the intake is there, so that goes first.
 	// A
 	// holder that is lost in between leaves progress without such a row; the next one
@@ -455,4 +470,13 @@
 		}
 	}
 
+	/**
+	 * Makes the message of an order.
+	 */
+	private interface OrderMessage {
+
+		Message of(long epoch, long heartbeat);
+
+	}
+
 }
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TargetLinks.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TargetLinks.java
@@ -78,12 +78,15 @@
 	 * Sends to a target.
 	 * @param target the target
 	 * @param message makes the message from the last heartbeat that was heard
+	 * @return whether a connection to the target is open
 	 */
-	void send(String target, LongFunction<Message> message) {
+	boolean send(String target, LongFunction<Message> message) {
 		Link link = this.links.get(target);
-		if (link != null) {
-			link.connection.send(message.apply(link.heartbeat));
+		if (link == null) {
+			return false;
 		}
+		link.connection.send(message.apply(link.heartbeat));
+		return true;
 	}
 
 	private void tellHolder(PeerConnection connection) {
--- a/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
+++ b/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
@@ -20,6 +20,7 @@
 import org.almondmount.wire.PeerInfo;
 import org.almondmount.wire.PeerListener;
 import org.almondmount.wire.WireEndpoint;
+import org.almondmount.worker.IgnoredReason;
 import org.almondmount.worker.WorkerCommand;
 import org.almondmount.worker.WorkerEvent;
 import org.almondmount.worker.WorkerKeeper;
@@ -33,6 +34,9 @@
 
 	private static final EventLog LOG = EventLog.of(FleetTarget.class);
 
+	/** Orders that were not carried out, by reason. */
+	private static final String IGNORED = "orders.ignored";
+
 	private static final long TICK_MILLIS = 100;
 
 	private static final long SEARCH_MILLIS = 300;
@@ -83,6 +87,7 @@
 		this.store = store;
 		this.wire = wire;
 		this.telemetry = telemetry;
+		telemetry.declare(IGNORED, IgnoredReason.class);
 		this.self = new PeerInfo(PeerInfo.Role.TARGET, settings.name(), "", settings.zone(), Optional.empty(), 0,
 				loop.wallMillis());
 		this.search = new HolderSearch(settings.name(), this::dial);
@@ -153,6 +158,11 @@
 			LOG.info("run-not-begun", "task", refused.task(), "run", refused.run(), "why", refused.why());
 			send(new Message.RunNotBegun(refused.task(), refused.run(), refused.why()));
 		}
+		else if (command instanceof WorkerCommand.IgnoreOrder ignored) {
+			this.telemetry.count(IGNORED, ignored.why());
+			LOG.info("order-ignored", "order", ignored.order(), "task", ignored.task(), "run", ignored.run(), "epoch",
+					ignored.epoch(), "why", ignored.why());
+		}
 		else if (command instanceof WorkerCommand.Explain explain) {
 			LOG.info(explain.event(), explain.keysAndValues());
 		}
