A new holder stops the runs of a job that is over

Cause: what is kept of a cancelled job is its phase and its open runs, and the orders to stop them live in the memory of the holder that took the cancel. When that holder ends its term first, the next one takes the runs over like any others: only a request to cancel stops runs, and it is answered already. A job that failed for good left the other runs of the job behind in the same way.

Ruled out: targets that drop the stop (no order-ignored for the job).

Now a holder orders the runs of each job that is over to end when it takes the job over, and repeats that like any order until the run's end is known, however often the term changes hands: what is owed follows from what is kept.

--- a/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
@@ -109,6 +109,18 @@
 		}
 	}
 
+	/**
+	 * Orders the open runs of a job to end where the job is over. What was kept of a job
+	 * says that it is over, not that its runs heard of it: the orders of an earlier term
+	 * may never have arrived.
+	 * @param job a job that an earlier term left
+	 */
+	void stopUnwanted(JobState job) {
+		if (job.over()) {
+			job.openRuns().forEach((run) -> stop(run, lossBy(job.phase())));
+		}
+	}
+
 	/**
 	 * Sends the order to end a run, for the first time or again.
 	 * @param run the run
@@ -152,6 +164,14 @@
 		}
 	}
 
+	private static WorkOutcome lossBy(JobPhase phase) {
+		return switch (phase) {
+			case CANCELLED -> WorkOutcome.CANCELLED;
+			case FAILED -> WorkOutcome.JOB_FAILED;
+			default -> WorkOutcome.UNSETTLED;
+		};
+	}
+
 	private void learn(Run run) {
 		StepState step = run.task().step();
 		if (!run.seenWhole() || step.spec().lasting() || !this.state.has(SchedulerFeature.LEARN_RUN_TIMES)) {
--- /dev/null
+++ b/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
@@ -0,0 +1,82 @@
+package org.almondmount.workflow;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.almondmount.workflow.JobRecord.OpenRun;
+import org.almondmount.workflow.JobRecord.StepKey;
+import org.almondmount.workflow.JobRecord.TaskRecord;
+import org.almondmount.workflow.WorkflowEvent.KeptJob;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * What a new holder does with runs that an earlier one ordered.
+ */
+class InheritedRunsTests extends SchedulerFixture {
+
+	private static final int RUN = 1;
+
+	// Guards against runs that go on after their job is over because the holder that
+	// ordered them to stop lost the term before the order arrived.
+	@ParameterizedTest
+	@EnumSource(names = { "CANCELLED", "FAILED" })
+	void runsOfAJobThatIsOverAreStopped(JobPhase phase) {
+		Workflow job = job("a", 2, step(2, 1));
+		takeOver(job, phase, 0, 1);
+		assertThat(stopsAfterReport(0, 1)).extracting((stop) -> stop.task().index()).containsOnly(0, 1);
+	}
+
+	// Guards against a run of a job that is over on a worker that is heard of late.
+	@Test
+	void theStopIsRepeatedOnceTheWorkerIsHeardOf() {
+		Workflow job = job("a", 2, step(1, 1));
+		takeOver(job, JobPhase.CANCELLED, 0);
+		this.now += 5_000;
+		feed(new WorkflowEvent.Tick());
+		this.commands.clear();
+		assertThat(stopsAfterReport(0)).isNotEmpty();
+	}
+
+	@Test
+	void runsOfAJobThatIsNotOverGoOn() {
+		Workflow job = job("a", 2, step(2, 1));
+		takeOver(job, JobPhase.RUNNING, 0, 1);
+		assertThat(stopsAfterReport(0, 1)).isEmpty();
+	}
+
+	private void takeOver(Workflow job, JobPhase phase, int... running) {
+		List<TaskRecord> tasks = new ArrayList<>();
+		for (int index : running) {
+			OpenRun open = new OpenRun(RUN, "t0", description(0, 1, false).life(), 1);
+			tasks.add(new TaskRecord(new StepKey(0, 0), index, RUN, 0, false, "", List.of(open)));
+		}
+		JobRecord record = new JobRecord(job.id(), phase, List.of(), tasks);
+		feed(new WorkflowEvent.TermBegan(2, List.of(new KeptJob(job, Optional.of(record), false))));
+	}
+
+	/**
+	 * Has the worker tell that the tasks run, then lets the time of a repetition pass.
+	 */
+	private List<WorkflowCommand.StopRun> stopsAfterReport(int... tasks) {
+		List<WorkerReport.Running> running = new ArrayList<>();
+		for (int task : tasks) {
+			running.add(new WorkerReport.Running(new TaskId("a", 0, 0, task), RUN, "", 10));
+		}
+		feed(new WorkflowEvent.WorkerReported(new WorkerReport("t0", description(0, 1, false), 2, running, List.of())));
+		this.now += SchedulerPolicy.DEFAULT.orderRetryMillis();
+		feed(new WorkflowEvent.Tick());
+		List<WorkflowCommand.StopRun> stops = new ArrayList<>();
+		for (WorkflowCommand command : this.commands) {
+			if (command instanceof WorkflowCommand.StopRun stop) {
+				stops.add(stop);
+			}
+		}
+		return stops;
+	}
+
+}
