A new holder stops what is left of a gang that lost a member

When a member of a gang ends, the holder orders the others to end. If its term ends first, the next holder takes the others over and lets them wait for a member that never comes; each holds its room until the gang's time runs out and ends `alone`, and the gang can't be placed meanwhile. What is kept shows it: a member without an open run.

--- a/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
@@ -110,14 +110,21 @@
 	}
 
 	/**
-	 * Orders the open runs of a job to end where the job is over. What was kept of a job
-	 * says that it is over, not that its runs heard of it: the orders of an earlier term
-	 * may never have arrived.
+	 * Orders those open runs of a job to end that can bring nothing any more: all of them
+	 * where the job is over, and the members of a gang that is not whole. What was kept
+	 * says that they are not wanted, not that they heard of it: the orders of an earlier
+	 * term may never have arrived.
 	 * @param job a job that an earlier term left
 	 */
 	void stopUnwanted(JobState job) {
 		if (job.over()) {
 			job.openRuns().forEach((run) -> stop(run, lossBy(job.phase())));
+			return;
+		}
+		for (StepState step : job.steps()) {
+			if (step.spec().gang() && !step.done() && !step.gangIsWhole()) {
+				stopAll(step, WorkOutcome.GANG_BROKEN);
+			}
 		}
 	}
 
--- a/core/src/main/java/org/almondmount/workflow/impl/StepState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/StepState.java
@@ -116,6 +116,15 @@
 		return last;
 	}
 
+	/**
+	 * Whether each member of a gang has its part in the gang's last run.
+	 * @return whether none has ended
+	 */
+	boolean gangIsWhole() {
+		int run = lastRun();
+		return this.tasks.stream().allMatch((task) -> task.openRun(run).isPresent());
+	}
+
 	/**
 	 * The checkpoint from which a gang goes on: the one of any member is good for all.
 	 * @return the checkpoint, or empty
--- a/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
+++ b/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
@@ -49,6 +49,21 @@
 		assertThat(stopsAfterReport(0, 1)).isEmpty();
 	}
 
+	// Guards against members that hold their room for a gang that is never whole again.
+	@Test
+	void theRestOfAGangThatLostAMemberIsStopped() {
+		Workflow job = job("a", 2, gang(2, 1));
+		takeOver(job, JobPhase.RUNNING, 0);
+		assertThat(stopsAfterReport(0)).extracting((stop) -> stop.task().index()).containsOnly(0);
+	}
+
+	@Test
+	void aWholeGangGoesOn() {
+		Workflow job = job("a", 2, gang(2, 1));
+		takeOver(job, JobPhase.RUNNING, 0, 1);
+		assertThat(stopsAfterReport(0, 1)).isEmpty();
+	}
+
 	private void takeOver(Workflow job, JobPhase phase, int... running) {
 		List<TaskRecord> tasks = new ArrayList<>();
 		for (int index : running) {
