An entry that gives its term up tells its targets and its waiting callers

Cause: a term that is lost ends by one path and a term that is given up by another, and only the first told targets and callers. A draining entry kept saying that it holds the term, so its targets stayed with it until its process ended; the next holder could reach none of them, and in a rolling restart it drained itself before they came. A caller that waited at the draining entry for its cancel was not answered, and the former holder went on to log decisions it could not take.

Now TermDriver reports the end of a term through one call however it ended. An entry that begins a term also forgets which holder it last saw, so that it names no former one when it ends.

--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -440,8 +440,7 @@
 		}
 
 		@Override
-		public void released(long epoch) {
-			quit(epoch);
+		public void released() {
 			FleetEntry.this.released.complete(null);
 		}
 
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TargetLinks.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TargetLinks.java
@@ -51,6 +51,7 @@
 
 	void announceHolder(long epoch) {
 		this.holderEpoch = epoch;
+		this.holder = null;
 		this.links.values().forEach((link) -> tellHolder(link.connection));
 	}
 
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
@@ -170,7 +170,10 @@
 		}
 		else if (command instanceof TermCommand.Released released) {
 			LOG.info("term-released", "epoch", released.epoch());
-			this.listener.released(released.epoch());
+			if (released.epoch() != 0) {
+				this.listener.ended(released.epoch());
+			}
+			this.listener.released();
 		}
 	}
 
@@ -313,13 +316,18 @@
 
 		void began(long epoch);
 
+		/**
+		 * This entry no longer decides, whether it lost the term or gave it up.
+		 * @param epoch the epoch of the term
+		 */
 		void ended(long epoch);
 
 		void saved(long sequence);
 
 		void holderSeen(TermRow row);
 
-		void released(long epoch);
+		/** This entry takes no term any more and holds none. */
+		void released();
 
 	}
 
--- a/fleet/src/test/java/org/almondmount/fleet/sim/DrainingHolderTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/DrainingHolderTests.java
@@ -4,6 +4,7 @@
 
 import org.almondmount.fleet.JobAnswer;
 import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.Workflow;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -17,6 +18,9 @@
 	/** How long an entry that gave up its term goes on to answer callers. */
 	private static final long DRAIN_MILLIS = 1_500;
 
+	/** After which every target has found a holder that is reachable. */
+	private static final long FOUND_MILLIS = 500;
+
 	private static final long LONG_RUN_MILLIS = 30_000;
 
 	private static final String JOB = "00000000000000aa";
@@ -47,4 +51,26 @@
 		assertThat(this.world.checker().broken()).isEmpty();
 	}
 
+	// Guards against targets that stay with an entry that gave up its term, out of reach
+	// of the next holder.
+	@Test
+	void aHolderReachesItsTargetsWhileTheFormerOneStillDrains() {
+		this.world.theHolder().drain(10_000);
+		this.world.runFor(FOUND_MILLIS);
+		Workflow job = this.world.smallJob("00000000000000bb");
+		this.world.submit(job, 500, false);
+		this.world.runFor(FOUND_MILLIS);
+		assertThat(this.world.checker().starts()).isEqualTo(2);
+	}
+
+	// Guards against callers that wait for a holder that gave up its term.
+	@Test
+	void aCancelThatADrainingHolderCannotKeepIsAnsweredWithoutDelay() {
+		FleetWorld.EntryProcess former = this.world.theHolder();
+		former.drain(DRAIN_MILLIS);
+		CompletableFuture<JobAnswer> cancel = former.cancel(JOB);
+		this.world.runFor(FOUND_MILLIS);
+		assertThat(cancel).isCompletedWithValue(new JobAnswer.Known(JobPhase.CANCELLED));
+	}
+
 }
