A term that is taken while the entry is told to end is given up at once

An entry that is told to end said at once that it holds no term, though its commit that takes the term was on its way. The row then named an entry that was gone: the others waited for the whole length of a term, or until they could not connect to its address any more.

Now the entry waits for that commit's answer and releases the term that it took; the term never begins, so it decides nothing.

Found by reading, in the look for the same cause elsewhere; no play has shown it. TermKeeperTests.aTermThatIsTakenByAnEntryThatIsToldToEndIsGivenUpAtOnce and anEntryThatIsToldToEndDoesNotWaitForATermThatAnotherOneTook failed before.

--- a/core/src/main/java/org/almondmount/term/TermKeeper.java
+++ b/core/src/main/java/org/almondmount/term/TermKeeper.java
@@ -58,6 +58,9 @@
 
 	private long epoch;
 
+	/** A term that was taken while this entry is told to end never begins. */
+	private boolean begun;
+
 	private long validUntil = NEVER;
 
 	private long nextRenewal;
@@ -93,7 +96,7 @@
 	 * @return a time of the driver's clock, or {@link #NEVER}
 	 */
 	public long validUntilMillis() {
-		return (this.epoch != 0) ? this.validUntil : NEVER;
+		return this.begun ? this.validUntil : NEVER;
 	}
 
 	/**
@@ -211,11 +214,12 @@
 		if (done.row().released()) {
 			this.released = true;
 			this.epoch = 0;
+			this.begun = false;
 			this.commands.add(new TermCommand.Released(done.row().epoch()));
 			return;
 		}
 		long until = this.sentAt + this.settings.validForMillis();
-		if (now >= until || this.releasing && this.epoch == 0) {
+		if (now >= until) {
 			return;
 		}
 		this.validUntil = until;
@@ -223,13 +227,20 @@
 		if (this.epoch == 0) {
 			this.epoch = done.row().epoch();
 			this.wantedSave = 0;
-			this.commands.add(new TermCommand.Began(this.epoch));
+			begin();
 		}
 		else if (done.save() != 0) {
 			this.commands.add(new TermCommand.Saved(done.save()));
 		}
 	}
 
+	private void begin() {
+		if (!this.releasing) {
+			this.begun = true;
+			this.commands.add(new TermCommand.Began(this.epoch));
+		}
+	}
+
 	private void conflict(long now, TermEvent.Conflict conflict) {
 		if (this.pending.isEmpty() || this.pending.get().row().commit() != conflict.commit()) {
 			return;
@@ -267,6 +278,7 @@
 	private void end(String why) {
 		this.commands.add(new TermCommand.Ended(this.epoch, why));
 		this.epoch = 0;
+		this.begun = false;
 		this.validUntil = NEVER;
 		this.wantedSave = 0;
 		this.pending = Optional.empty();
@@ -284,8 +296,7 @@
 			return;
 		}
 		if (this.releasing) {
-			this.released = true;
-			this.commands.add(new TermCommand.Released(0));
+			releaseNothing();
 			return;
 		}
 		if (!this.inFlight) {
@@ -293,6 +304,15 @@
 		}
 	}
 
+	// A commit that takes the term may be on its way. Were it left alone, the row would
+	// name an entry that is gone, and the others would wait for the whole length.
+	private void releaseNothing() {
+		if (this.pending.isEmpty()) {
+			this.released = true;
+			this.commands.add(new TermCommand.Released(0));
+		}
+	}
+
 	// Others who reach the store take the term at once when they are told; this entry
 	// looks at it a little later, in case that nobody reaches the store.
 	private void handOver(long now) {
--- a/core/src/test/java/org/almondmount/term/TermKeeperTests.java
+++ b/core/src/test/java/org/almondmount/term/TermKeeperTests.java
@@ -117,6 +117,30 @@
 		assertThat(commitIn(feed(new TermEvent.RowRead(Optional.of(former), 9))).row().epoch()).isEqualTo(5);
 	}
 
+	// Guards against a term that nobody holds because its holder is gone before it heard
+	// that it took it.
+	@Test
+	void aTermThatIsTakenByAnEntryThatIsToldToEndIsGivenUpAtOnce() {
+		feed(new TermEvent.Tick());
+		TermCommand.Commit take = commitIn(feed(new TermEvent.RowRead(Optional.empty(), 0)));
+		assertThat(feed(new TermEvent.Release())).isEmpty();
+		List<TermCommand> taken = feed(new TermEvent.Committed(take.row().commit(), 7));
+		assertThat(taken).noneMatch(TermCommand.Began.class::isInstance);
+		assertThat(this.keeper.validUntilMillis()).isEqualTo(TermKeeper.NEVER);
+		TermCommand.Commit release = commitIn(taken);
+		assertThat(release.row().released()).isTrue();
+		assertThat(feed(new TermEvent.Committed(release.row().commit(), 8))).contains(new TermCommand.Released(1));
+	}
+
+	@Test
+	void anEntryThatIsToldToEndDoesNotWaitForATermThatAnotherOneTook() {
+		feed(new TermEvent.Tick());
+		TermCommand.Commit take = commitIn(feed(new TermEvent.RowRead(Optional.empty(), 0)));
+		feed(new TermEvent.Release());
+		assertThat(feed(new TermEvent.Conflict(take.row().commit(), Optional.of(other(1)), 7)))
+			.contains(new TermCommand.Released(0));
+	}
+
 	private void hold() {
 		feed(new TermEvent.Tick());
 		TermCommand.Commit commit = commitIn(feed(new TermEvent.RowRead(Optional.empty(), 0)));
