The acknowledgement of an end is repeated while its worker lists the end

It is lost with the connection to the target, or with a target that restarts before its worker has heard it; the worker listed the end in each report from then on, and the holder, which had seen its number, never answered again. To whoever counts, the end was never taken note of.

Now a report that lists an end that is kept is answered once more. A lost acknowledgement is counted with the other orders that did not leave.

--- a/core/src/main/java/org/almondmount/workflow/impl/Worker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Worker.java
@@ -45,6 +45,9 @@
 
 	private long seenEnd;
 
+	/** The last end that is kept, so that the worker may forget it. */
+	private long keptEnd;
+
 	private long epoch;
 
 	private boolean lapsed;
@@ -155,6 +158,14 @@
 		this.seenEnd = Math.max(this.seenEnd, number);
 	}
 
+	long keptEnd() {
+		return this.keptEnd;
+	}
+
+	void keptEnd(long number) {
+		this.keptEnd = Math.max(this.keptEnd, number);
+	}
+
 	long epoch() {
 		return this.epoch;
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
@@ -241,10 +241,18 @@
 		}
 		long upTo = worker.seenEnd();
 		if (upTo > before) {
-			this.state.writeAhead()
-				.afterKept(() -> this.state
-					.emit(new WorkflowCommand.AcknowledgeEnds(worker.target(), worker.life(), upTo)));
+			this.state.writeAhead().afterKept(() -> acknowledge(worker, upTo));
 		}
+		else if (ends.stream().anyMatch((end) -> end.number() <= worker.keptEnd())) {
+			acknowledge(worker, worker.keptEnd());
+		}
+	}
+
+	// An acknowledgement is lost with the connection, or with a target that restarts
+	// before its worker has heard it. The worker then lists the end again.
+	private void acknowledge(Worker worker, long upTo) {
+		worker.keptEnd(upTo);
+		this.state.emit(new WorkflowCommand.AcknowledgeEnds(worker.target(), worker.life(), upTo));
 	}
 
 	// What an earlier term ordered and the worker neither runs nor lists as ended was
--- a/core/src/test/java/org/almondmount/workflow/WorkflowSchedulerTests.java
+++ b/core/src/test/java/org/almondmount/workflow/WorkflowSchedulerTests.java
@@ -69,6 +69,17 @@
 		assertThat(phase("a")).contains(JobPhase.COMPLETED);
 	}
 
+	// Guards against ends that a worker lists for ever because their acknowledgement was
+	// lost on its way.
+	@Test
+	void anEndThatIsListedAgainIsAcknowledgedAgain() {
+		begin(1);
+		WorkflowCommand.StartRun start = startsOf(job("a", 2, step(1, 1))).get(0);
+		endAndKeep(start, RunEnding.DONE);
+		this.ends = 0;
+		assertThat(end(start, RunEnding.DONE)).hasAtLeastOneElementOfType(WorkflowCommand.AcknowledgeEnds.class);
+	}
+
 	@Test
 	void aJobFailsAfterTheAttemptsOfItsQueue() {
 		begin(2);
--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -281,8 +281,7 @@
 					(epoch, heartbeat) -> new Message.RunStop(epoch, stop.life(), stop.task(), stop.run()));
 		}
 		else if (command instanceof WorkflowCommand.AcknowledgeEnds ends && this.term.mayDecide()) {
-			long epoch = this.term.epoch();
-			this.targets.send(ends.target(), (heartbeat) -> new Message.EndsKept(epoch, ends.life(), ends.upTo()));
+			acknowledge(ends);
 		}
 	}
 
@@ -298,6 +297,14 @@
 		}
 	}
 
+	// Not repeated: a worker lists an end until it hears that it is kept.
+	private void acknowledge(WorkflowCommand.AcknowledgeEnds ends) {
+		long epoch = this.term.epoch();
+		if (!this.targets.send(ends.target(), (heartbeat) -> new Message.EndsKept(epoch, ends.life(), ends.upTo()))) {
+			this.telemetry.count(UNDELIVERED, UndeliveredReason.TARGET_NOT_CONNECTED);
+		}
+	}
+
 	private void undelivered(String kind, String target, TaskId task, int run, UndeliveredReason why) {
 		this.telemetry.count(UNDELIVERED, why);
 		LOG.info("order-undelivered", "order", kind, "task", task, "run", run, "target", target, "epoch",
