A job is not failed before its queue is known

An entry may take the term before it has read what operators declared (its read fails once, no peer tells it). The same happened to jobs whose queue a new configuration leaves out.

Now a failure is counted and the job is judged once its queue is known.

Before: InheritedRunsTests.aFailureBeforeTheQueueIsKnownIsJudgedOnceItIs failed.

--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -77,6 +77,7 @@
 	private boolean declared(WorkflowEvent event) {
 		if (event instanceof WorkflowEvent.ConfigurationChanged changed) {
 			this.state.configuration(changed.configuration());
+			this.ledger.failUsedUp();
 			return true;
 		}
 		if (event instanceof WorkflowEvent.ZonesOutChanged changed) {
--- a/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.JobQueue;
 import org.almondmount.workflow.RunEnding;
 import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.WorkOutcome;
@@ -171,6 +173,19 @@
 		}
 	}
 
+	/** Fails the jobs whose attempts are used up by what their queues say now. */
+	void failUsedUp() {
+		for (JobState job : this.state.jobs().values()) {
+			for (StepState step : job.steps()) {
+				for (TaskState task : step.tasks()) {
+					if (task.failures() > 0 && !task.done()) {
+						failIfUsedUp(job, task, task.failures());
+					}
+				}
+			}
+		}
+	}
+
 	private static WorkOutcome lossBy(JobPhase phase) {
 		return switch (phase) {
 			case CANCELLED -> WorkOutcome.CANCELLED;
@@ -213,12 +228,21 @@
 		}
 		int failures = step.countFailure(run.task(), run.number());
 		step.notBefore(this.state.steadyMillis() + FAILURE_PAUSE_MILLIS);
-		int most = this.state.queueOf(job).map((queue) -> queue.maxAttempts()).orElse(1);
-		if (!job.over() && failures >= most) {
-			job.phase(JobPhase.FAILED);
-			this.state.explain("job-failed", "job", job.id(), "task", run.task().id(), "attempts", failures);
-			job.openRuns().forEach((open) -> stop(open, WorkOutcome.JOB_FAILED));
+		failIfUsedUp(job, run.task(), failures);
+	}
+
+	// How many attempts a job has is told by its queue. A new holder may hear of a
+	// failure
+	// before it has read the queues; the job is judged once they are known.
+	private void failIfUsedUp(JobState job, TaskState task, int failures) {
+		Optional<JobQueue> queue = this.state.queueOf(job);
+		if (job.over() || queue.isEmpty() || failures < queue.get().maxAttempts()) {
+			return;
 		}
+		job.phase(JobPhase.FAILED);
+		this.state.writeAhead().changed(job);
+		this.state.explain("job-failed", "job", job.id(), "task", task.id(), "attempts", failures);
+		job.openRuns().forEach((open) -> stop(open, WorkOutcome.JOB_FAILED));
 	}
 
 	// The worker ends the other members by itself, but one whose start is still on its
--- a/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
+++ b/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
@@ -42,6 +42,19 @@
 		assertThat(stopsAfterReport(0)).isNotEmpty();
 	}
 
+	// Guards against jobs that fail because their new holder has not read yet how many
+	// attempts their queue allows.
+	@Test
+	void aFailureBeforeTheQueueIsKnownIsJudgedOnceItIs() {
+		Workflow job = new Workflow("a", "later", "c", "p", List.of(step(1, 1)), Workflow.Schedule.ONCE, this.now);
+		takeOver(job, JobPhase.RUNNING, 0);
+		endAndKeep(new WorkflowCommand.StartRun("t0", description(0, 1, false).life(), new TaskId("a", 0, 0, 0), RUN,
+				"p", ""), RunEnding.FAILED);
+		assertThat(phase("a")).contains(JobPhase.RUNNING);
+		keepAll(declareQueue("later", 1));
+		assertThat(phase("a")).contains(JobPhase.FAILED);
+	}
+
 	@Test
 	void runsOfAJobThatIsNotOverGoOn() {
 		Workflow job = job("a", 2, step(2, 1));
@@ -74,6 +87,12 @@
 		feed(new WorkflowEvent.TermBegan(2, List.of(new KeptJob(job, Optional.of(record), false))));
 	}
 
+	private List<WorkflowCommand> declareQueue(String name, int maxAttempts) {
+		JobQueue queue = new JobQueue(name, "h", "/" + name, "pool", 1, maxAttempts, 3, 1_000, false, false);
+		return feed(new WorkflowEvent.ConfigurationChanged(
+				new FleetConfiguration(2, List.of(queue), List.of("pool"), List.of())));
+	}
+
 	/**
 	 * Has the worker tell that the tasks run, then lets the time of a repetition pass.
 	 */
