A new holder leaves what is left of a completed gang to end by itself

A job may be kept as completed while runs of a gang are open whose ends, done like that of the member that was heard of first, are on their way. Only runs of cancelled and failed jobs are stopped now.

Before: InheritedRunsTests.theRestOfAGangThatIsDoneIsLeftToEnd failed.

--- a/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
@@ -113,14 +113,19 @@
 
 	/**
 	 * Orders those open runs of a job to end that can bring nothing any more: all of them
-	 * where the job is over, and the members of a gang that is not whole. What was kept
-	 * says that they are not wanted, not that they heard of it: the orders of an earlier
-	 * term may never have arrived.
+	 * where the job was cancelled or has failed, and the members of a gang that is not
+	 * whole. What was kept says that they are not wanted, not that they heard of it: the
+	 * orders of an earlier term may never have arrived. Members of a gang of which one is
+	 * done are done as well.
 	 * @param job a job that an earlier term left
 	 */
 	void stopUnwanted(JobState job) {
+		if (job.phase() == JobPhase.COMPLETED) {
+			return;
+		}
 		if (job.over()) {
-			job.openRuns().forEach((run) -> stop(run, lossBy(job.phase())));
+			WorkOutcome why = (job.phase() == JobPhase.FAILED) ? WorkOutcome.JOB_FAILED : WorkOutcome.CANCELLED;
+			job.openRuns().forEach((run) -> stop(run, why));
 			return;
 		}
 		for (StepState step : job.steps()) {
@@ -186,14 +191,6 @@
 		}
 	}
 
-	private static WorkOutcome lossBy(JobPhase phase) {
-		return switch (phase) {
-			case CANCELLED -> WorkOutcome.CANCELLED;
-			case FAILED -> WorkOutcome.JOB_FAILED;
-			default -> WorkOutcome.UNSETTLED;
-		};
-	}
-
 	private void learn(Run run) {
 		StepState step = run.task().step();
 		if (!run.seenWhole() || step.spec().lasting() || !this.state.has(SchedulerFeature.LEARN_RUN_TIMES)) {
--- a/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
+++ b/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
@@ -70,6 +70,15 @@
 		assertThat(stopsAfterReport(0)).extracting((stop) -> stop.task().index()).containsOnly(0);
 	}
 
+	// Guards against a member that is stopped, and counts as lost, though its gang is
+	// done.
+	@Test
+	void theRestOfAGangThatIsDoneIsLeftToEnd() {
+		Workflow job = job("a", 2, gang(2, 1));
+		takeOver(job, JobPhase.COMPLETED, 0);
+		assertThat(stopsAfterReport(0)).isEmpty();
+	}
+
 	@Test
 	void aWholeGangGoesOn() {
 		Workflow job = job("a", 2, gang(2, 1));
