What an entry keeps without the holder is told until a holder takes note

Callers saw: a job that was accepted 16 ms after a holder gave its term up began up to two seconds later; a cancel that was kept beside its job counted up to four seconds later where one look of the holder at the store failed.

Of a cancel that is kept as a row the holder was not told at all. Both were left to a look at the store every two seconds, which was not repeated when it failed. Since a draining holder hands its open cancels to the store, that way is taken more often.

--- a/fleet/src/main/java/org/almondmount/fleet/entry/EntryCalls.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/EntryCalls.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
+import org.almondmount.fleet.Loop;
 import org.almondmount.wire.Message;
 
 /**
@@ -17,6 +18,9 @@
 	/** Asks another entry to accept a job. */
 	static final String SUBMIT = "submit";
 
+	/** Tells the holder of a cancel that is kept beside its job. */
+	static final String CANCEL_KEPT = "cancel-kept";
+
 	/** Asks the holder where a job stands. */
 	static final String PHASE = "phase";
 
@@ -37,13 +41,42 @@
 	/** Time for the holder to answer from memory before the store is asked. */
 	static final long HOLDER_MILLIS = 500;
 
+	/** Pause before a holder that did not take note is told again, in milliseconds. */
+	private static final long TELL_AGAIN_MILLIS = 200;
+
+	/** After so many tries the holder has read the store itself. */
+	private static final int MOST_TELLS = 10;
+
 	private final TermDriver term;
 
 	private final PeerLinks peers;
 
-	EntryCalls(TermDriver term, PeerLinks peers) {
+	private final Loop loop;
+
+	EntryCalls(TermDriver term, PeerLinks peers, Loop loop) {
 		this.term = term;
 		this.peers = peers;
+		this.loop = loop;
+	}
+
+	/**
+	 * Tells the holder of something that is kept, again until one takes note of it. The
+	 * holder finds it in the store as well, but later.
+	 * @param method what is told
+	 * @param job the job that it is about
+	 * @param body more of it
+	 */
+	void tellHolder(String method, String job, byte[] body) {
+		tellHolder(method, job, body, MOST_TELLS);
+	}
+
+	private void tellHolder(String method, String job, byte[] body, int tries) {
+		this.loop.then(askHolder(method, job, body, HOLDER_MILLIS), (answer) -> {
+			boolean taken = answer.isPresent() && answer.get().status() == OK;
+			if (!taken && tries > 1) {
+				this.loop.after(TELL_AGAIN_MILLIS, () -> tellHolder(method, job, body, tries - 1));
+			}
+		});
 	}
 
 	/**
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -126,7 +126,7 @@
 					.withStatusMillis(settings.status().toMillis())
 					.withFeatures(settings.features())),
 				store, this.loop, telemetry, this.term, this.targets, settings.lease().toMillis());
-		EntryCalls calls = new EntryCalls(this.term, this.peers);
+		EntryCalls calls = new EntryCalls(this.term, this.peers, this.loop);
 		this.intake = new JobIntake(store, this.loop, this.patience, telemetry, this.holder, this.term, this.peers,
 				calls, this::priorityOf);
 		this.desk = new FrontDesk(store, this.loop, this.patience, this.holder, calls, this.intake);
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
@@ -130,10 +130,8 @@
 	 */
 	CompletableFuture<Answer> asked(Message.Forward call) {
 		return switch (call.method()) {
-			case EntryCalls.ACCEPTED -> {
-				this.holder.accepted(RecordCodec.readWorkflow(text(call.body())));
-				yield done(EntryCalls.OK, "");
-			}
+			case EntryCalls.ACCEPTED -> taken(() -> this.holder.accepted(RecordCodec.readWorkflow(text(call.body()))));
+			case EntryCalls.CANCEL_KEPT -> taken(() -> this.holder.cancelKept(call.path()));
 			case EntryCalls.SUBMIT -> this.intake.submitForPeer(RecordCodec.readWorkflow(text(call.body())))
 				.thenApply((outcome) -> new Answer(statusOf(outcome), ""));
 			case EntryCalls.PHASE -> askedPhase(call.path());
@@ -145,6 +143,15 @@
 		};
 	}
 
+	// A holder that still loads may have read the store before the row was there.
+	private CompletableFuture<Answer> taken(Runnable note) {
+		if (!this.holder.deciding()) {
+			return done(EntryCalls.UNAVAILABLE, "");
+		}
+		note.run();
+		return done(EntryCalls.OK, "");
+	}
+
 	private CompletableFuture<Answer> askedPhase(String job) {
 		if (!this.holder.deciding()) {
 			return done(EntryCalls.UNAVAILABLE, "");
@@ -225,6 +232,7 @@
 				(ending) -> {
 					if (ending instanceof RowStore.Commit.Committed) {
 						LOG.info("cancel-kept", "job", job, "through", "store");
+						tellOfCancel(job);
 						outcome.complete(new JobAnswer.Known(JobPhase.CANCELLED));
 						return;
 					}
@@ -232,6 +240,14 @@
 				});
 	}
 
+	private void tellOfCancel(String job) {
+		if (this.holder.deciding()) {
+			this.holder.cancelKept(job);
+			return;
+		}
+		this.calls.tellHolder(EntryCalls.CANCEL_KEPT, job, new byte[0]);
+	}
+
 	private void againOrUnavailable(long until, CompletableFuture<JobAnswer> outcome, Runnable again) {
 		if (this.loop.steadyMillis() + REFUSED_PAUSE_MILLIS >= until) {
 			outcome.complete(new JobAnswer.Unavailable());
--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -135,6 +135,7 @@
 	void termBegan(long epoch) {
 		this.loaded = false;
 		this.loadingEpoch = epoch;
+		this.intakeAsked = false;
 		this.targets.announceHolder(epoch);
 		load(epoch);
 	}
@@ -175,6 +176,15 @@
 		}
 	}
 
+	/**
+	 * A cancel is kept beside its job, whether the job is known here yet or not.
+	 * @param job the job
+	 */
+	void cancelKept(String job) {
+		this.cancelRows.add(job);
+		cancelIfWanted(job);
+	}
+
 	/**
 	 * Where a job stands.
 	 * @param job the job
@@ -393,6 +403,7 @@
 		this.loaded = true;
 		feed(new WorkflowEvent.TermBegan(epoch, kept));
 		this.targets.announceHolder(epoch);
+		lookAtIntake();
 	}
 
 	private void readAll(String table, String from, List<Row> found, long oldest, long epoch,
@@ -440,6 +451,10 @@
 					this.intakeVersion = intake.version();
 				});
 			}
+			else {
+				LOG.warn("intake-look-retried", "why", changes);
+				this.loop.after(RELOAD_MILLIS, this::lookAtIntake);
+			}
 		});
 	}
 
@@ -449,12 +464,10 @@
 		}
 		String job = Tables.jobOf(row.place());
 		if (Tables.isJob(row.place())) {
-			decode(row, RecordCodec::readWorkflow).ifPresent((found) -> feed(new WorkflowEvent.JobAccepted(found)));
-		}
-		else {
-			this.cancelRows.add(job);
+			decode(row, RecordCodec::readWorkflow).ifPresent(this::accepted);
+			return;
 		}
-		cancelIfWanted(job);
+		cancelKept(job);
 	}
 
 	// Rows read anew come in the order of their keys, a cancel before its job. It has to
--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
@@ -328,8 +328,7 @@
 			this.holder.accepted(attempt.job());
 			return;
 		}
-		this.calls.askHolder(EntryCalls.ACCEPTED, attempt.job().id(), attempt.text().getBytes(StandardCharsets.UTF_8),
-				EntryCalls.HOLDER_MILLIS);
+		this.calls.tellHolder(EntryCalls.ACCEPTED, attempt.job().id(), attempt.text().getBytes(StandardCharsets.UTF_8));
 	}
 
 	// What an earlier call left unsettled may still take effect, so a later call for the
