A call to an entry whose connection is gone is given up at once

Callers saw: a cancel that was on its way to the holder when the holder died was answered after 1.5 s, when the call timed out; only then was it kept in the store.

Cause: PeerLinks dropped the connection and left its calls to their timeouts. Now they end with it, and whoever waits goes the other way.

Before: KeptWithoutHolderTests.aCancelIsAnsweredWithoutDelayThoughTheHolderDies failed.

--- a/fleet/src/main/java/org/almondmount/fleet/entry/PeerLinks.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/PeerLinks.java
@@ -33,7 +33,7 @@
 
 	private final Map<String, Peer> peers = new LinkedHashMap<>();
 
-	private final Map<Long, CompletableFuture<Optional<Message.ForwardAnswer>>> calls = new HashMap<>();
+	private final Map<Long, Call> calls = new HashMap<>();
 
 	private long lastCall;
 
@@ -70,6 +70,7 @@
 	}
 
 	void closed(PeerConnection connection) {
+		endCallsOn(connection);
 		Peer peer = this.peers.get(connection.peer().address());
 		if (peer == null) {
 			return;
@@ -140,7 +141,7 @@
 			answer.complete(Optional.empty());
 			return answer;
 		}
-		this.calls.put(id, answer);
+		this.calls.put(id, new Call(connection.get(), answer));
 		this.loop.after(withinMillis, () -> {
 			this.calls.remove(id);
 			answer.complete(Optional.empty());
@@ -149,12 +150,19 @@
 	}
 
 	void answered(Message.ForwardAnswer answer) {
-		CompletableFuture<Optional<Message.ForwardAnswer>> waiting = this.calls.remove(answer.id());
+		Call waiting = this.calls.remove(answer.id());
 		if (waiting != null) {
-			waiting.complete(Optional.of(answer));
+			waiting.answer.complete(Optional.of(answer));
 		}
 	}
 
+	// No answer comes on a connection that is gone; whoever waits goes another way.
+	private void endCallsOn(PeerConnection connection) {
+		List<Call> ended = this.calls.values().stream().filter((call) -> call.connection == connection).toList();
+		this.calls.values().removeAll(ended);
+		ended.forEach((call) -> call.answer.complete(Optional.empty()));
+	}
+
 	private void dial(Peer peer) {
 		if (peer.connected() || peer.dialling || !this.peers.containsKey(peer.address)) {
 			return;
@@ -163,6 +171,22 @@
 		this.dialler.accept(peer.address);
 	}
 
+	/**
+	 * A call that is not answered yet.
+	 */
+	private static final class Call {
+
+		private final PeerConnection connection;
+
+		private final CompletableFuture<Optional<Message.ForwardAnswer>> answer;
+
+		Call(PeerConnection connection, CompletableFuture<Optional<Message.ForwardAnswer>> answer) {
+			this.connection = connection;
+			this.answer = answer;
+		}
+
+	}
+
 	/**
 	 * Another entry.
 	 */
--- a/fleet/src/test/java/org/almondmount/fleet/sim/KeptWithoutHolderTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/KeptWithoutHolderTests.java
@@ -5,6 +5,7 @@
 import org.almondmount.fleet.JobAnswer;
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.Workflow;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -61,4 +62,18 @@
 		}
 	}
 
+	// Guards against callers that wait for the answer of a holder that is gone.
+	@Test
+	void aCancelIsAnsweredWithoutDelayThoughTheHolderDies() {
+		FleetWorld world = new FleetWorld(5, 3, 5);
+		world.runFor(3_000);
+		world.submit(world.smallJob(JOB), 30_000, false);
+		world.runFor(1_000);
+		CompletableFuture<JobAnswer> cancel = world.anyButTheHolder().cancel(JOB);
+		world.runFor(2);
+		world.theHolder().kill();
+		world.runFor(TAKEN_NOTE_MILLIS);
+		assertThat(cancel).isCompletedWithValue(new JobAnswer.Known(JobPhase.CANCELLED));
+	}
+
 }
