The simulated network opens no connection to a process that has ended

A dial takes 2 ms. Where the process that was dialled ended in between, the connection was opened all the same, and nobody was left to close it: the dialler kept it for 2.5 s until its silence was noticed, and did not dial the process's successor at the same address. With TCP such a connection is refused or reset at once. A process that is cut off still leaves silent connections, as before.

No random number is drawn.

--- a/fleet/src/test/java/org/almondmount/fleet/sim/SimWire.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimWire.java
@@ -126,6 +126,11 @@
 				return ready;
 			}
 			SimWire.this.time.after(2 * WAY_MILLIS, () -> {
+				// A process that ended meanwhile leaves nobody to find out that it did.
+				if (there.dead || this.dead) {
+					ready.completeExceptionally(new WireException("sim", CloseReason.REFUSED, "ended"));
+					return;
+				}
 				Side mine = new Side(this, there.self, dialler);
 				Side theirs = new Side(there, info, there.listener);
 				mine.other = theirs;
