A failed run of a gang counts once, also over a change of holder

Where one member's failure was kept and another member of the same run ended failed under the next holder, the run counted twice and the job failed early.

It is kept with the gang's first task now; rows without it read as before.

Before: InheritedRunsTests.aFailedRunOfAGangCountsOnceUnderTwoHolders failed.

--- a/core/src/main/java/org/almondmount/workflow/JobRecord.java
+++ b/core/src/main/java/org/almondmount/workflow/JobRecord.java
@@ -37,14 +37,21 @@
 	 * @param done whether it is done
 	 * @param checkpoint its last checkpoint, or empty
 	 * @param openRuns its runs that may still be at work
+	 * @param failedRun of a gang's first task: the last run of the gang whose failure is
+	 * counted, 0 for none
 	 */
 	public record TaskRecord(StepKey step, int index, int lastRun, int failures, boolean done, String checkpoint,
-			List<OpenRun> openRuns) {
+			List<OpenRun> openRuns, int failedRun) {
 
 		public TaskRecord {
 			openRuns = List.copyOf(openRuns);
 		}
 
+		public TaskRecord(StepKey step, int index, int lastRun, int failures, boolean done, String checkpoint,
+				List<OpenRun> openRuns) {
+			this(step, index, lastRun, failures, done, checkpoint, openRuns, 0);
+		}
+
 	}
 
 	/**
--- a/core/src/main/java/org/almondmount/workflow/impl/StepState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/StepState.java
@@ -29,6 +29,7 @@
 
 	private boolean done;
 
+	/** The last run of a gang whose failure is counted; its other members add nothing. */
 	private int failedRun;
 
 	private long notBeforeMillis = Long.MIN_VALUE;
@@ -104,6 +105,14 @@
 		return first.failures();
 	}
 
+	int failedRun() {
+		return this.failedRun;
+	}
+
+	void restoreFailedRun(int run) {
+		this.failedRun = run;
+	}
+
 	/**
 	 * The last run of any of its tasks; the members of a gang share their numbers.
 	 * @return the number, 0 where nothing was run
--- a/core/src/main/java/org/almondmount/workflow/impl/TaskState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/TaskState.java
@@ -100,7 +100,7 @@
 
 	TaskRecord toRecord() {
 		return new TaskRecord(this.step.key(), this.index, this.lastRun, this.failures, this.done, this.checkpoint,
-				this.openRuns.stream().map(Run::toRecord).toList());
+				this.openRuns.stream().map(Run::toRecord).toList(), (this.index == 0) ? this.step.failedRun() : 0);
 	}
 
 	void restore(TaskRecord kept) {
@@ -108,6 +108,9 @@
 		this.failures = kept.failures();
 		this.done = kept.done();
 		this.checkpoint = kept.checkpoint();
+		if (this.index == 0) {
+			this.step.restoreFailedRun(kept.failedRun());
+		}
 	}
 
 }
--- a/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
+++ b/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
@@ -79,6 +79,19 @@
 		assertThat(stopsAfterReport(0)).isEmpty();
 	}
 
+	// Guards against a gang that fails too early because members of one run are counted
+	// under two holders.
+	@Test
+	void aFailedRunOfAGangCountsOnceUnderTwoHolders() {
+		begin(1);
+		Workflow job = job("a", 2, gang(2, 1));
+		List<WorkflowCommand.StartRun> members = startsOf(job);
+		JobRecord kept = keepIn(end(members.get(0), RunEnding.FAILED)).records().get(0);
+		feed(new WorkflowEvent.TermBegan(2, List.of(new KeptJob(job, Optional.of(kept), false))));
+		endAndKeep(members.get(1), RunEnding.FAILED);
+		assertThat(phase("a")).contains(JobPhase.RUNNING);
+	}
+
 	@Test
 	void aWholeGangGoesOn() {
 		Workflow job = job("a", 2, gang(2, 1));
--- a/fleet/src/main/java/org/almondmount/fleet/codec/RecordCodec.java
+++ b/fleet/src/main/java/org/almondmount/fleet/codec/RecordCodec.java
@@ -164,13 +164,16 @@
 				.add(run.life().bornMillis())
 				.add(run.epoch());
 		}
+		if (task.failedRun() != 0) {
+			out.add(task.failedRun());
+		}
 		return out;
 	}
 
 	private static TaskRecord readTask(JsonNode in) {
 		StepKey step = new StepKey(in.path(0).asInt(), in.path(1).asInt());
 		return new TaskRecord(step, in.path(2).asInt(), in.path(3).asInt(), in.path(4).asInt(), in.path(5).asInt() == 1,
-				in.path(6).asText(), list(in.path(7), RecordCodec::readRun));
+				in.path(6).asText(), list(in.path(7), RecordCodec::readRun), in.path(8).asInt());
 	}
 
 	private static OpenRun readRun(JsonNode in) {
--- a/fleet/src/test/java/org/almondmount/fleet/codec/RecordCodecTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/codec/RecordCodecTests.java
@@ -32,7 +32,8 @@
 	void progressComesBackAsItWas() {
 		JobRecord.OpenRun run = new JobRecord.OpenRun(3, "target-1", new WorkerLife("w", 12), 9);
 		JobRecord record = new JobRecord("j", JobPhase.RUNNING, List.of(new JobRecord.StepKey(0, 1)),
-				List.of(new JobRecord.TaskRecord(new JobRecord.StepKey(0, 0), 4, 3, 1, false, "c1", List.of(run))));
+				List.of(new JobRecord.TaskRecord(new JobRecord.StepKey(0, 0), 4, 3, 1, false, "c1", List.of(run)),
+						new JobRecord.TaskRecord(new JobRecord.StepKey(0, 0), 0, 3, 1, false, "", List.of(), 2)));
 		assertThat(RecordCodec.readProgress(RecordCodec.write(record))).isEqualTo(record);
 	}
 
