An operator's plan that waits for the table is answered when the term ends

Seen: a run of ZoneOutTests in a scratch copy, beside 32 busy processes (load 47 to 64), failed at "the zone is out" after 40 s. The new holder lost its lease two seconds after it began to schedule and took it again at once; no plan was confirmed in the 38 s after that and nothing stood in the way of one.

Cause: PlanDesk handed the caller of POST /v1/plans to the write. When the term ends the writer tells nobody anything more, and the desk answered the open confirmation only. The operator heard nothing until its own timeout. That this is what the run above waited for is inferred from its log; the fault itself is shown by the test.

Now the desk keeps who waits for a plan and answers store-unknown when the term ends. A drain waits for open plans too, as SchedulerTerm#isIdle says.

StoreOutageTests#aPlanThatWaitsForTheTableIsAnsweredWhenTheTermEnds before: no answer in 20 s (the client's timeout).

--- a/daemon/src/main/java/org/almondmount/daemon/entry/control/PlanDesk.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/control/PlanDesk.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -58,6 +59,8 @@
 
 	private long lastNumber;
 
+	private final Map<String, Responder> planning = new LinkedHashMap<>();
+
 	private boolean closed;
 
 	PlanDesk(EntryContext context, Mailbox mailbox, Parts parts) {
@@ -75,7 +78,7 @@
 	}
 
 	boolean isIdle() {
-		return this.confirmations.isEmpty();
+		return this.confirmations.isEmpty() && this.planning.isEmpty();
 	}
 
 	void tick() {
@@ -87,6 +90,8 @@
 		feed(new ConfirmationEvent.SteppedDown());
 		this.closed = true;
 		this.parts.writer.close();
+		this.planning.forEach(this::unknown);
+		this.planning.clear();
 	}
 
 	/**
@@ -105,25 +110,33 @@
 		String id = "p" + this.parts.epoch + "-" + ++this.lastNumber;
 		PlanRow row = new PlanRow(id, intent, revision, operator);
 		Plan plan = new Plan(id, intent, revision, effects);
+		this.planning.put(id, responder);
 		submit(List.of(this.parts.fence, new Condition(Keys.plan(id), 0)),
 				List.of(new Write(Keys.plan(id), Optional.of(Json.write(row)))),
-				this.context.clock().millis() + ANSWER_WITHIN_MILLIS, (result) -> planned(plan, result, responder));
+				this.context.clock().millis() + ANSWER_WITHIN_MILLIS, (result) -> planned(plan, result));
 	}
 
-	private void planned(Plan plan, CommitResult result, Responder responder) {
+	private void planned(Plan plan, CommitResult result) {
+		Responder responder = this.planning.remove(plan.id());
+		if (responder == null) {
+			return;
+		}
 		if (result instanceof CommitResult.Committed) {
 			responder.answer(this.parts.answerer.document(CREATED, Listings.plan(plan)));
 		}
 		else if (result instanceof CommitResult.Unknown) {
-			responder.answer(this.parts.answerer
-				.refusal(Refusal.mayHaveRun(RefusalReason.STORE_UNKNOWN, "the table has not said whether plan "
-						+ plan.id() + " was kept; nothing changes until one is confirmed")));
+			unknown(plan.id(), responder);
 		}
 		else {
 			responder.answer(this.parts.answerer.comeBack(RefusalReason.STORE_AWAY, "the table did not take the plan"));
 		}
 	}
 
+	private void unknown(String plan, Responder responder) {
+		responder.answer(this.parts.answerer.refusal(Refusal.mayHaveRun(RefusalReason.STORE_UNKNOWN,
+				"the table has not said whether plan " + plan + " was kept; nothing changes until one is confirmed")));
+	}
+
 	/**
 	 * Confirms a plan.
 	 * @param id its identifier
--- a/daemon/src/test/java/org/almondmount/daemon/entry/StoreOutageTests.java
+++ b/daemon/src/test/java/org/almondmount/daemon/entry/StoreOutageTests.java
@@ -1,8 +1,11 @@
 package org.almondmount.daemon.entry;
 
+import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
+import org.almondmount.daemon.entry.store.Keys;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -61,6 +64,18 @@
 		target.close();
 	}
 
+	// The term ends while an operator's plan waits for the table, and nobody answers.
+	@Test
+	void aPlanThatWaitsForTheTableIsAnsweredWhenTheTermEnds() {
+		this.entry = new RunningEntry("entry-a", this.table).withCustomers();
+		this.table.loseAnswers(FakeTable.writing(Keys.plan("")));
+		CompletableFuture<HttpResponse<String>> plan = CompletableFuture.supplyAsync(() -> this.entry
+			.post(RunningEntry.OPERATOR, "/v1/plans", "{\"intent\":\"zone-out\",\"zone\":\"lulea-a\"}", Map.of()));
+		Awaitility.await().until(() -> !this.table.keys(Keys.plan("")).isEmpty());
+		this.table.away(true);
+		assertThat(RunningEntry.json(plan.join()).path("kind").asText()).isEqualTo("store-unknown");
+	}
+
 	private int call() {
 		return this.entry.post(RunningEntry.PARISH, "/v1/call/code", "x", Map.of()).statusCode();
 	}
