--- a/daemon/src/test/java/org/almondmount/daemon/entry/StoreOutageTests.java
+++ b/daemon/src/test/java/org/almondmount/daemon/entry/StoreOutageTests.java
@@ -64,7 +64,7 @@
 		target.close();
 	}
 
-	// The term ends while an operator's plan waits for the table, and nobody answers.
+	// Guards against an operator who waits for a plan for good because the term ended.
 	@Test
 	void aPlanThatWaitsForTheTableIsAnsweredWhenTheTermEnds() {
 		this.entry = new RunningEntry("entry-a", this.table).withCustomers();
