A run that was begun within its attempts may end; names read again

Seen in the read-through: since jobs are judged when their queue is known, a new configuration with fewer attempts would have failed a job whose last allowed run was at work. Only tasks without an open run are judged then. InheritedRunsTests.aRunThatWasBegunWithinItsAttemptsMayEnd failed before.

stopUnwanted is stopObsolete (an unwanted run is one that the holder does not know), a call to a peer is a record, torn comments are set anew.

--- a/core/src/main/java/org/almondmount/term/TermKeeper.java
+++ b/core/src/main/java/org/almondmount/term/TermKeeper.java
@@ -296,7 +296,7 @@
 			return;
 		}
 		if (this.releasing) {
-			releaseNothing();
+			releaseOnceSettled();
 			return;
 		}
 		if (!this.inFlight) {
@@ -306,7 +306,7 @@
 
 	// A commit that takes the term may be on its way. Were it left alone, the row would
 	// name an entry that is gone, and the others would wait for the whole length.
-	private void releaseNothing() {
+	private void releaseOnceSettled() {
 		if (this.pending.isEmpty()) {
 			this.released = true;
 			this.commands.add(new TermCommand.Released(0));
--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -181,7 +181,7 @@
 				inherit(step.tasks().get(task.index()), open);
 			}
 		}
-		this.ledger.stopUnwanted(job);
+		this.ledger.stopObsolete(job);
 	}
 
 	// Runs of earlier terms may name several lives of one worker. They are all taken to
--- a/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
@@ -112,14 +112,13 @@
 	}
 
 	/**
-	 * Orders those open runs of a job to end that can bring nothing any more: all of them
-	 * where the job was cancelled or has failed, and the members of a gang that is not
-	 * whole. What was kept says that they are not wanted, not that they heard of it: the
-	 * orders of an earlier term may never have arrived. Members of a gang of which one is
-	 * done are done as well.
+	 * Orders the obsolete runs of a job to end: all open ones where the job was cancelled
+	 * or has failed, and the members of a gang that is not whole. What was kept says that
+	 * nobody wants them, not that they heard of it: the orders of an earlier term may
+	 * never have arrived. Where a member of a gang is done, so are the others.
 	 * @param job a job that an earlier term left
 	 */
-	void stopUnwanted(JobState job) {
+	void stopObsolete(JobState job) {
 		if (job.phase() == JobPhase.COMPLETED) {
 			return;
 		}
@@ -178,12 +177,15 @@
 		}
 	}
 
-	/** Fails the jobs whose attempts are used up by what their queues say now. */
+	/**
+	 * Fails the jobs whose attempts are used up by what their queues say now. A run that
+	 * is open was begun in time and may still succeed.
+	 */
 	void failUsedUp() {
 		for (JobState job : this.state.jobs().values()) {
 			for (StepState step : job.steps()) {
 				for (TaskState task : step.tasks()) {
-					if (task.failures() > 0 && !task.done()) {
+					if (task.failures() > 0 && task.idle() && !task.done()) {
 						failIfUsedUp(job, task, task.failures());
 					}
 				}
@@ -228,9 +230,9 @@
 		failIfUsedUp(job, run.task(), failures);
 	}
 
-	// How many attempts a job has is told by its queue. A new holder may hear of a
-	// failure
-	// before it has read the queues; the job is judged once they are known.
+	// A new holder may hear of a failure before it has read the queue, which says how
+	// many
+	// attempts there are. The job is judged once the queue is known.
 	private void failIfUsedUp(JobState job, TaskState task, int failures) {
 		Optional<JobQueue> queue = this.state.queueOf(job);
 		if (job.over() || queue.isEmpty() || failures < queue.get().maxAttempts()) {
--- a/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
+++ b/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
@@ -55,6 +55,19 @@
 		assertThat(phase("a")).contains(JobPhase.FAILED);
 	}
 
+	// Guards against a run that is stopped because a new configuration allows fewer
+	// attempts than it took to begin it.
+	@Test
+	void aRunThatWasBegunWithinItsAttemptsMayEnd() {
+		begin(1);
+		Workflow job = job("a", 2, step(1, 1));
+		endAndKeep(startsOf(job).get(0), RunEnding.FAILED);
+		this.now += 200;
+		assertThat(keepAll(feed(new WorkflowEvent.Tick()))).hasSize(1);
+		keepAll(declareQueue("q2", 1));
+		assertThat(phase("a")).contains(JobPhase.RUNNING);
+	}
+
 	@Test
 	void runsOfAJobThatIsNotOverGoOn() {
 		Workflow job = job("a", 2, step(2, 1));
--- a/fleet/src/main/java/org/almondmount/fleet/entry/PeerLinks.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/PeerLinks.java
@@ -152,15 +152,15 @@
 	void answered(Message.ForwardAnswer answer) {
 		Call waiting = this.calls.remove(answer.id());
 		if (waiting != null) {
-			waiting.answer.complete(Optional.of(answer));
+			waiting.answer().complete(Optional.of(answer));
 		}
 	}
 
 	// No answer comes on a connection that is gone; whoever waits goes another way.
 	private void endCallsOn(PeerConnection connection) {
-		List<Call> ended = this.calls.values().stream().filter((call) -> call.connection == connection).toList();
+		List<Call> ended = this.calls.values().stream().filter((call) -> call.connection() == connection).toList();
 		this.calls.values().removeAll(ended);
-		ended.forEach((call) -> call.answer.complete(Optional.empty()));
+		ended.forEach((call) -> call.answer().complete(Optional.empty()));
 	}
 
 	private void dial(Peer peer) {
@@ -174,17 +174,7 @@
 	/**
 	 * A call that is not answered yet.
 	 */
-	private static final class Call {
-
-		private final PeerConnection connection;
-
-		private final CompletableFuture<Optional<Message.ForwardAnswer>> answer;
-
-		Call(PeerConnection connection, CompletableFuture<Optional<Message.ForwardAnswer>> answer) {
-			this.connection = connection;
-			this.answer = answer;
-		}
-
+	private record Call(PeerConnection connection, CompletableFuture<Optional<Message.ForwardAnswer>> answer) {
 	}
 
 	/**
