Orders to targets and the declared rows of the simulated installation stand alone

HolderDesk (502 lines) read rows, drove the scheduler and sent orders; the last part is TargetOrders now. FleetWorld's declared rows are a class of their own. Nothing that is sent or logged changes, but for the epoch of an order whose term is over, which is the one that this entry holds then.

--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -27,7 +27,6 @@
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.JobRecord;
 import org.almondmount.workflow.PlacementPace;
-import org.almondmount.workflow.TaskId;
 import org.almondmount.workflow.WorkOutcome;
 import org.almondmount.workflow.Workflow;
 import org.almondmount.workflow.WorkflowCommand;
@@ -46,9 +45,6 @@
 	/** Core-seconds of work that is over, by what became of it. */
 	private static final String WORK = "work";
 
-	/** Orders that did not leave for their target, by reason. */
-	private static final String UNDELIVERED = "orders.undelivered";
-
 	/** What a round of placing waiting work takes. */
 	private static final String PLACEMENT = "placement";
 
@@ -82,6 +78,8 @@
 
 	private final TargetLinks targets;
 
+	private final TargetOrders orders;
+
 	private final long leaseMillis;
 
 	private final PlacementPace pace = new PlacementPace();
@@ -116,7 +114,7 @@
 		this.targets = targets;
 		this.leaseMillis = leaseMillis;
 		telemetry.declare(WORK, WorkOutcome.class);
-		telemetry.declare(UNDELIVERED, UndeliveredReason.class);
+		this.orders = new TargetOrders(term, targets, telemetry);
 	}
 
 	void start() {
@@ -283,47 +281,18 @@
 			}
 		}
 		else if (command instanceof WorkflowCommand.StartRun start) {
-			order("start", start.target(), start.task(), start.run(), (epoch, heartbeat) -> new Message.RunStart(epoch,
-					heartbeat, start.life(), start.task(), start.run(), start.program(), start.checkpoint()));
+			this.orders.start(start);
 		}
 		else if (command instanceof WorkflowCommand.StopRun stop) {
-			order("stop", stop.target(), stop.task(), stop.run(),
-					(epoch, heartbeat) -> new Message.RunStop(epoch, stop.life(), stop.task(), stop.run()));
-		}
-		else if (command instanceof WorkflowCommand.AcknowledgeEnds ends && this.term.mayDecide()) {
-			acknowledge(ends);
-		}
-	}
-
-	private void order(String kind, String target, TaskId task, int run, OrderMessage message) {
-		if (!this.term.mayDecide()) {
-			undelivered(kind, target, task, run, UndeliveredReason.TERM_OVER);
-			return;
+			this.orders.stop(stop);
 		}
-		long epoch = this.term.epoch();
-		this.telemetry.count("orders." + kind);
-		if (!this.targets.send(target, (heartbeat) -> message.of(epoch, heartbeat))) {
-			undelivered(kind, target, task, run, UndeliveredReason.TARGET_NOT_CONNECTED);
+		else if (command instanceof WorkflowCommand.AcknowledgeEnds ends) {
+			this.orders.acknowledge(ends);
 		}
 	}
 
-	// Not repeated: a worker lists an end until it hears that it is kept.
-	private void acknowledge(WorkflowCommand.AcknowledgeEnds ends) {
-		long epoch = this.term.epoch();
-		if (!this.targets.send(ends.target(), (heartbeat) -> new Message.EndsKept(epoch, ends.life(), ends.upTo()))) {
-			this.telemetry.count(UNDELIVERED, UndeliveredReason.TARGET_NOT_CONNECTED);
-		}
-	}
-
-	private void undelivered(String kind, String target, TaskId task, int run, UndeliveredReason why) {
-		this.telemetry.count(UNDELIVERED, why);
-		LOG.info("order-undelivered", "order", kind, "task", task, "run", run, "target", target, "epoch",
-				this.loadingEpoch, "why", why);
-	}
-
 	// A job counts as accepted while its row of the intake is there, so that goes first.
-	// A
-	// holder that is lost in between leaves progress without such a row; the next one
+	// A holder that is lost in between leaves progress without such a row; the next one
 	// removes it when it loads.
 	private void forget(List<String> jobs) {
 		List<Write> rows = new ArrayList<>();
@@ -490,13 +459,4 @@
 		}
 	}
 
-	/**
-	 * Makes the message of an order.
-	 */
-	private interface OrderMessage {
-
-		Message of(long epoch, long heartbeat);
-
-	}
-
 }
--- a/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -17,7 +16,6 @@
 import java.util.function.LongSupplier;
 
 import com.codahale.metrics.Timer;
-import org.almondmount.fleet.DeclarationReader;
 import org.almondmount.fleet.FleetSettings;
 import org.almondmount.fleet.JobAnswer;
 import org.almondmount.fleet.Submission;
@@ -29,9 +27,7 @@
 import org.almondmount.telemetry.Telemetry;
 import org.almondmount.term.TermRow;
 import org.almondmount.workflow.FleetConfiguration;
-import org.almondmount.workflow.FleetCustomer;
 import org.almondmount.workflow.JobPhase;
-import org.almondmount.workflow.JobQueue;
 import org.almondmount.workflow.ResourceAmount;
 import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.Step;
@@ -57,9 +53,9 @@
 	/** The time that callers give, in milliseconds. */
 	private static final OptionalLong PATIENCE = OptionalLong.of(2_500);
 
-	private static final String TABLE = "op";
+	static final String TABLE = "op";
 
-	private static final String ZONE_OUT = "out/";
+	static final String ZONE_OUT = "out/";
 
 	private static final Duration LEASE = Duration.ofSeconds(6);
 
@@ -486,41 +482,4 @@
 
 	}
 
-	/**
-	 * What operators declared, as this world writes it.
-	 */
-	private static final class Declared implements DeclarationReader {
-
-		@Override
-		public String table() {
-			return TABLE;
-		}
-
-		@Override
-		public Optional<FleetConfiguration> configuration(Map<String, String> rows) {
-			if (!rows.containsKey("config")) {
-				return Optional.empty();
-			}
-			List<JobQueue> queues = new ArrayList<>();
-			for (int priority = 0; priority < 3; priority++) {
-				queues.add(new JobQueue("q" + priority, "host", "/q" + priority + "/", "pool", priority, 2, 3, 1_000,
-						false, false));
-			}
-			return Optional.of(new FleetConfiguration(Long.parseLong(rows.get("config")), queues, List.of("pool"),
-					List.of(new FleetCustomer("one", Set.of("k1"), 16), new FleetCustomer("two", Set.of("k2"), 8))));
-		}
-
-		@Override
-		public Set<String> zonesOut(Map<String, String> rows) {
-			Set<String> out = new HashSet<>();
-			for (String key : rows.keySet()) {
-				if (key.startsWith(ZONE_OUT)) {
-					out.add(key.substring(ZONE_OUT.length()));
-				}
-			}
-			return out;
-		}
-
-	}
-
 }
