--- a/fleet/src/main/java/org/almondmount/fleet/entry/EntryCalls.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/EntryCalls.java
@@ -41,11 +41,11 @@
 	/** Time for the holder to answer from memory before the store is asked. */
 	static final long HOLDER_MILLIS = 500;
 
-	/** Pause before a holder that did not take note is told again, in milliseconds. */
-	private static final long TELL_AGAIN_MILLIS = 200;
+	/** Pause before a notification that no holder took is sent again, in milliseconds. */
+	private static final long NOTIFY_RETRY_MILLIS = 200;
 
 	/** After so many tries the holder has read the store itself. */
-	private static final int MOST_TELLS = 10;
+	private static final int MOST_NOTIFICATIONS = 10;
 
 	private final TermDriver term;
 
@@ -60,21 +60,21 @@
 	}
 
 	/**
-	 * Tells the holder of something that is kept, again until one takes note of it. The
-	 * holder finds it in the store as well, but later.
-	 * @param method what is told
+	 * Notifies the holder of something that is kept, with retries until a holder
+	 * acknowledges it. The holder finds it in the store as well, but later.
+	 * @param method what happened
 	 * @param job the job that it is about
 	 * @param body more of it
 	 */
-	void tellHolder(String method, String job, byte[] body) {
-		tellHolder(method, job, body, MOST_TELLS);
+	void notifyHolder(String method, String job, byte[] body) {
+		notifyHolder(method, job, body, MOST_NOTIFICATIONS);
 	}
 
-	private void tellHolder(String method, String job, byte[] body, int tries) {
+	private void notifyHolder(String method, String job, byte[] body, int tries) {
 		this.loop.then(askHolder(method, job, body, HOLDER_MILLIS), (answer) -> {
-			boolean taken = answer.isPresent() && answer.get().status() == OK;
-			if (!taken && tries > 1) {
-				this.loop.after(TELL_AGAIN_MILLIS, () -> tellHolder(method, job, body, tries - 1));
+			boolean acknowledged = answer.isPresent() && answer.get().status() == OK;
+			if (!acknowledged && tries > 1) {
+				this.loop.after(NOTIFY_RETRY_MILLIS, () -> notifyHolder(method, job, body, tries - 1));
 			}
 		});
 	}
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FrontDesk.java
@@ -130,8 +130,9 @@
 	 */
 	CompletableFuture<Answer> asked(Message.Forward call) {
 		return switch (call.method()) {
-			case EntryCalls.ACCEPTED -> taken(() -> this.holder.accepted(RecordCodec.readWorkflow(text(call.body()))));
-			case EntryCalls.CANCEL_KEPT -> taken(() -> this.holder.cancelKept(call.path()));
+			case EntryCalls.ACCEPTED ->
+				notified(() -> this.holder.accepted(RecordCodec.readWorkflow(text(call.body()))));
+			case EntryCalls.CANCEL_KEPT -> notified(() -> this.holder.cancelKept(call.path()));
 			case EntryCalls.SUBMIT -> this.intake.submitForPeer(RecordCodec.readWorkflow(text(call.body())))
 				.thenApply((outcome) -> new Answer(statusOf(outcome), ""));
 			case EntryCalls.PHASE -> askedPhase(call.path());
@@ -144,7 +145,7 @@
 	}
 
 	// A holder that still loads may have read the store before the row was there.
-	private CompletableFuture<Answer> taken(Runnable note) {
+	private CompletableFuture<Answer> notified(Runnable note) {
 		if (!this.holder.deciding()) {
 			return done(EntryCalls.UNAVAILABLE, "");
 		}
@@ -232,7 +233,7 @@
 				(ending) -> {
 					if (ending instanceof RowStore.Commit.Committed) {
 						LOG.info("cancel-kept", "job", job, "through", "store");
-						tellOfCancel(job);
+						notifyOfCancel(job);
 						outcome.complete(new JobAnswer.Known(JobPhase.CANCELLED));
 						return;
 					}
@@ -240,12 +241,12 @@
 				});
 	}
 
-	private void tellOfCancel(String job) {
+	private void notifyOfCancel(String job) {
 		if (this.holder.deciding()) {
 			this.holder.cancelKept(job);
 			return;
 		}
-		this.calls.tellHolder(EntryCalls.CANCEL_KEPT, job, new byte[0]);
+		this.calls.notifyHolder(EntryCalls.CANCEL_KEPT, job, new byte[0]);
 	}
 
 	private void againOrUnavailable(long until, CompletableFuture<JobAnswer> outcome, Runnable again) {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
@@ -328,7 +328,8 @@
 			this.holder.accepted(attempt.job());
 			return;
 		}
-		this.calls.tellHolder(EntryCalls.ACCEPTED, attempt.job().id(), attempt.text().getBytes(StandardCharsets.UTF_8));
+		this.calls.notifyHolder(EntryCalls.ACCEPTED, attempt.job().id(),
+				attempt.text().getBytes(StandardCharsets.UTF_8));
 	}
 
 	// What an earlier call left unsettled may still take effect, so a later call for the
