--- a/fleet/src/main/java/org/almondmount/fleet/entry/TargetLinks.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TargetLinks.java
@@ -34,7 +34,7 @@
 		if (before != null) {
 			before.connection.close(CloseReason.REPLACED);
 		}
-		notifyHolder(connection);
+		tellHolder(connection);
 	}
 
 	void closed(PeerConnection connection) {
@@ -60,18 +60,18 @@
 
 	void announceHolder(long epoch) {
 		this.holderEpoch = epoch;
-		this.links.values().forEach((link) -> notifyHolder(link.connection));
+		this.links.values().forEach((link) -> tellHolder(link.connection));
 	}
 
 	void announceNoHolder() {
 		this.holderEpoch = 0;
-		this.links.values().forEach((link) -> notifyHolder(link.connection));
+		this.links.values().forEach((link) -> tellHolder(link.connection));
 	}
 
 	void holderSeen(TermRow row) {
 		this.holder = row;
 		if (this.holderEpoch == 0) {
-			this.links.values().forEach((link) -> notifyHolder(link.connection));
+			this.links.values().forEach((link) -> tellHolder(link.connection));
 		}
 	}
 
@@ -98,7 +98,7 @@
 		return true;
 	}
 
-	private void notifyHolder(PeerConnection connection) {
+	private void tellHolder(PeerConnection connection) {
 		connection.send(new Message.EntryHeartbeat(0, 0, this.holderEpoch, this.holderEpoch != 0));
 		if (this.holderEpoch == 0 && this.holder != null) {
 			connection.send(new Message.HolderIs(new EntryId(this.holder.holder()), this.holder.epoch(),
