--- a/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
@@ -230,8 +230,7 @@
 		failIfUsedUp(job, run.task(), failures);
 	}
 
-	// A new holder may hear of a failure before it has read the queue, which says how
-	// many
+	// A new holder may hear of a failure before it has read the queue that says how many
 	// attempts there are. The job is judged once the queue is known.
 	private void failIfUsedUp(JobState job, TaskState task, int failures) {
 		Optional<JobQueue> queue = this.state.queueOf(job);
--- a/fleet/src/test/java/org/almondmount/fleet/sim/KeptWithoutHolderTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/KeptWithoutHolderTests.java
@@ -19,8 +19,8 @@
 
 	private static final String JOB = "00000000000000aa";
 
-	/** Two entries of three agree on a holder, and it has loaded, by then. */
-	private static final long TAKEN_NOTE_MILLIS = 500;
+	/** By then the next holder has loaded what is kept, and each entry knows it. */
+	private static final long HANDED_OVER_MILLIS = 500;
 
 	// Guards against a cancel that counts late because the one look at the store that
 	// would have found it failed.
@@ -44,8 +44,8 @@
 		assertThat(world.checker().broken()).isEmpty();
 	}
 
-	// Guards against a job that begins late because it was accepted while no holder took
-	// note of it.
+	// Guards against a job that begins late because it was accepted while there was no
+	// holder to notify.
 	@ParameterizedTest
 	@ValueSource(longs = { 0, 4, 8, 12, 16, 20, 24, 28, 32, 40 })
 	void aJobThatIsAcceptedWhileTheTermChangesHandsBeginsAtOnce(long afterRelease) {
@@ -57,7 +57,7 @@
 			Workflow job = world.smallJob(JOB);
 			world.checker().submit(job, 500, false);
 			world.entries().get(entry).submit(job);
-			world.runFor(TAKEN_NOTE_MILLIS);
+			world.runFor(HANDED_OVER_MILLIS);
 			assertThat(world.checker().starts()).as("through entry " + entry).isOne();
 		}
 	}
@@ -72,7 +72,7 @@
 		CompletableFuture<JobAnswer> cancel = world.anyButTheHolder().cancel(JOB);
 		world.runFor(2);
 		world.theHolder().kill();
-		world.runFor(TAKEN_NOTE_MILLIS);
+		world.runFor(HANDED_OVER_MILLIS);
 		assertThat(cancel).isCompletedWithValue(new JobAnswer.Known(JobPhase.CANCELLED));
 	}
 
