--- a/core/src/test/java/org/almondmount/workflow/GuaranteedGangTests.java
+++ b/core/src/test/java/org/almondmount/workflow/GuaranteedGangTests.java
@@ -1,6 +1,5 @@
 package org.almondmount.workflow;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 
@@ -78,16 +77,6 @@
 		return new WorkflowEvent.WorkerReported(new WorkerReport("t" + worker, said, 1, running, List.of()));
 	}
 
-	private static List<WorkflowCommand.StopRun> stops(List<WorkflowCommand> commands) {
-		List<WorkflowCommand.StopRun> stops = new ArrayList<>();
-		for (WorkflowCommand command : commands) {
-			if (command instanceof WorkflowCommand.StopRun stop) {
-				stops.add(stop);
-			}
-		}
-		return stops;
-	}
-
 	private static Step wanting(int count, long accelerators, long millis, int mostPerWorker) {
 		return new Step(count, amount(accelerators), millis, List.of(), false, true,
 				new Step.Placement("", "", true, mostPerWorker), false, Step.ServiceTerms.NONE);
--- a/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
+++ b/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
@@ -139,13 +139,7 @@
 		feed(new WorkflowEvent.WorkerReported(new WorkerReport("t0", description(0, 1, false), 2, running, List.of())));
 		this.now += SchedulerPolicy.DEFAULT.orderRetryMillis();
 		feed(new WorkflowEvent.Tick());
-		List<WorkflowCommand.StopRun> stops = new ArrayList<>();
-		for (WorkflowCommand command : this.commands) {
-			if (command instanceof WorkflowCommand.StopRun stop) {
-				stops.add(stop);
-			}
-		}
-		return stops;
+		return stops(this.commands);
 	}
 
 }
--- a/core/src/test/java/org/almondmount/workflow/LeavingWorkerTests.java
+++ b/core/src/test/java/org/almondmount/workflow/LeavingWorkerTests.java
@@ -91,8 +91,4 @@
 		return commands;
 	}
 
-	private static List<StopRun> stops(List<WorkflowCommand> commands) {
-		return commands.stream().filter(StopRun.class::isInstance).map(StopRun.class::cast).toList();
-	}
-
 }
--- a/core/src/test/java/org/almondmount/workflow/SchedulerFixture.java
+++ b/core/src/test/java/org/almondmount/workflow/SchedulerFixture.java
@@ -120,6 +120,16 @@
 		return starts;
 	}
 
+	static List<WorkflowCommand.StopRun> stops(List<WorkflowCommand> commands) {
+		List<WorkflowCommand.StopRun> stops = new ArrayList<>();
+		for (WorkflowCommand command : commands) {
+			if (command instanceof WorkflowCommand.StopRun stop) {
+				stops.add(stop);
+			}
+		}
+		return stops;
+	}
+
 	static WorkflowCommand.Keep keepIn(List<WorkflowCommand> commands) {
 		return findKeep(commands).orElseThrow();
 	}
--- a/core/src/test/java/org/almondmount/workflow/WorkflowSchedulerTests.java
+++ b/core/src/test/java/org/almondmount/workflow/WorkflowSchedulerTests.java
@@ -133,12 +133,7 @@
 		begin(1);
 		startsOf(job("less", 2, step(2, 4))).forEach(this::run);
 		List<WorkflowCommand> urgent = feed(new WorkflowEvent.JobAccepted(job("urgent", 0, gang(2, 2))));
-		List<WorkflowCommand.StopRun> stops = new ArrayList<>();
-		for (WorkflowCommand command : urgent) {
-			if (command instanceof WorkflowCommand.StopRun stop) {
-				stops.add(stop);
-			}
-		}
+		List<WorkflowCommand.StopRun> stops = stops(urgent);
 		assertThat(stops).hasSize(1);
 		WorkflowCommand.StopRun stop = stops.get(0);
 		List<WorkflowCommand> ended = feed(
