A test hands jobs in only once the other entry has reached the holder

Cause: an entry is ready once it knows a configuration, since it serves requests without the holder. Its connection to the holder may come later; until then it refuses jobs, truthfully and with the time to come back. The set-up waited for readiness and for a holder, not for the connection between the two, and handed jobs in without coming back.

Evidence: the same answer comes each time when both entries' peer addresses are cut off while the one that does not schedules restarts (new test: ready, 503, no-scheduler, not-run, Retry-After; accepted after the connection is there).

Ruled out: readiness that waits for the holder. It would take away the entry's requests to service instances, which need no holder.

Change: the set-up waits until the other entry reaches the holder, the condition that the other tests of the class already wait for; the refusal and its end get a test of their own.

--- a/processes/src/test/java/org/almondmount/processes/HolderLossTests.java
+++ b/processes/src/test/java/org/almondmount/processes/HolderLossTests.java
@@ -29,6 +29,7 @@
 		this.site.await("somebody schedules", () -> this.site.entry(0).isHolder() || this.site.entry(1).isHolder());
 		this.old = this.site.entry(0).isHolder() ? this.site.entry(0) : this.site.entry(1);
 		this.other = (this.old == this.site.entry(0)) ? this.site.entry(1) : this.site.entry(0);
+		awaitThatOtherReachesTheHolder();
 	}
 
 	@AfterEach
@@ -111,6 +112,34 @@
 		assertThat(starts.values()).allMatch((count) -> count <= 1);
 	}
 
+	// Guards against callers that an entry loses before it has found the holder: it
+	// refuses
+	// with the time to come back, and takes their jobs as soon as it has.
+	@Test
+	void anEntryThatHasNotReachedTheHolderRefusesAndSaysWhenToComeBack() {
+		this.old.door().partition();
+		this.other.door().partition();
+		this.other.process().kill();
+		this.other.start();
+		this.site.await("the entry is back", this.other::isReady);
+		String job = Site.job(1, 2, "any", "sleep 1s", Map.of());
+		Api.Reply refused = this.other.as(Site.NORRBOTTEN).post("/v1/jobs", job);
+		assertThat(refused.status()).as(refused.body()).isEqualTo(503);
+		assertThat(refused.text("kind")).isEqualTo("no-scheduler");
+		assertThat(refused.text("ran")).isEqualTo("not-run");
+		assertThat(refused.headers()).containsKey("retry-after");
+		this.old.door().heal();
+		this.other.door().heal();
+		awaitThatOtherReachesTheHolder();
+		String accepted = submit(this.other, job);
+		this.site.await("the job succeeds", () -> ending(this.other, accepted).equals("succeeded"));
+	}
+
+	private void awaitThatOtherReachesTheHolder() {
+		this.site.await("the other entry reaches the holder",
+				() -> this.other.operator().get("/v1/workers").status() == 200);
+	}
+
 	// A checker that knows only what the workers' stand-ins saw.
 	private Set<String> membersInTwoAttemptsAtOnce() {
 		List<JsonNode> events = this.site.taskEvents();
