One crash that was seen is enough to give a task up after five lost starts

Cause: a task was given up after five starts that ended with their worker only if two of the crashes were seen by a target. Where all processes are killed between a crash and its report, the report is lost with the target that saw it; the open run and the life of its worker are in the store and survive, so the start still counts.

Ruled out: a write of "begun" before each start. The start is ordered after its run is kept, so that a second write would still leave a gap between the worker's start and that write, at the price of a transaction for each start.

Change: one seen crash among five. With none seen a task is never given up: all its runs may have been ordered and not begun.

--- a/core/src/main/java/org/almondmount/workflow/impl/CrashHistory.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/CrashHistory.java
@@ -19,13 +19,12 @@
 final class CrashHistory {
 
 	/**
-	 * A task is given up after so many crashes, seen or not, whatever speaks for it.
+	 * A task is given up after so many crashes of which one was seen, whatever speaks for
+	 * it: the reports of the others are lost where all processes are killed before they
+	 * are kept.
 	 */
 	private static final int MOST_CRASHES = 5;
 
-	/** With fewer seen crashes a task is never given up. */
-	private static final int FEWEST_SEEN = 2;
-
 	/**
 	 * Seen crashes at the same age; fewer may be chance: workers crash for reasons of
 	 * their own.
@@ -108,7 +107,7 @@
 		long seen = seen().count();
 		boolean sameAge = oldestMillis() - youngestMillis() <= SAME_AGE_MILLIS;
 		boolean guilty = sameAge && seen >= CRASHES_OF_PROOF && blamePercent() >= GUILTY_PERCENT;
-		return guilty || (seen >= FEWEST_SEEN && this.crashes.size() >= MOST_CRASHES);
+		return guilty || (seen > 0 && this.crashes.size() >= MOST_CRASHES);
 	}
 
 	boolean suspect() {
