Entries tell each other that the store is silent

What callers see: while the store answers nobody, a job that was sent to it can be neither kept nor refused; its caller is held to the end of its time and hears 504.

Cause: each entry learnt of the silence by a write of its own, so that up to one job an entry was sent into it, thirteen on a deployment of thirteen entries. The store's return is told from entry to entry already; its silence was not.

Change: the first unanswered call is told to the other entries. One that hears of it asks the store with a read before it sends the next job; where the store answers that entry, the job goes on within milliseconds.

--- a/fleet/src/main/java/org/almondmount/fleet/StorePatience.java
+++ b/fleet/src/main/java/org/almondmount/fleet/StorePatience.java
@@ -39,6 +39,9 @@
 
 	private boolean answering = true;
 
+	private Runnable whenSilent = () -> {
+	};
+
 	/**
 	 * How long an answer is of any use.
 	 * @return the longest that {@link #timeout()} becomes
@@ -66,9 +69,29 @@
 		this.answering = true;
 	}
 
+	/**
+	 * Has something done each time a store that answered falls silent.
+	 * @param listener what to do
+	 */
+	public void whenSilent(Runnable listener) {
+		this.whenSilent = listener;
+	}
+
 	/** No answer came. */
 	public void silent() {
 		this.silences = Math.min(MOST_DOUBLINGS, this.silences + 1);
+		boolean answered = this.answering;
+		this.answering = false;
+		if (answered) {
+			this.whenSilent.run();
+		}
+	}
+
+	/**
+	 * Another process waits for an answer in vain, so that the next one here is doubtful
+	 * too.
+	 */
+	public void doubt() {
 		this.answering = false;
 	}
 
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -50,6 +50,9 @@
 	/** Tells another entry that the store, which was silent, answers again. */
 	private static final String STORE_ANSWERS = "store-answers";
 
+	/** Tells another entry that the store has left a call unanswered. */
+	private static final String STORE_SILENT = "store-silent";
+
 	private static final long HOLDER_WORD_MILLIS = 300;
 
 	/** Entries that do not hold the term speak at every third turn. */
@@ -136,7 +139,8 @@
 		this.register = new EntryRegister(settings, store, this.loop, this.patience, this.peers);
 		this.probe.whenAnswering(this.term::storeAnswers);
 		this.probe.whenAnswering(this.intake::storeAnswers);
-		this.probe.whenAnswering(this::tellThatTheStoreAnswers);
+		this.probe.whenAnswering(() -> tellEntries(STORE_ANSWERS));
+		this.patience.whenSilent(() -> tellEntries(STORE_SILENT));
 		telemetry.gauge("term.epoch", this.term::epoch);
 	}
 
@@ -394,8 +398,17 @@
 		}
 	}
 
-	private void tellThatTheStoreAnswers() {
-		this.peers.broadcast(new Message.Forward(0, "", STORE_ANSWERS, "", new byte[0], Map.of()));
+	private void tellEntries(String news) {
+		this.peers.broadcast(new Message.Forward(0, "", news, "", new byte[0], Map.of()));
+	}
+
+	// A job that is sent into the silence can no longer be refused. Entries that learnt
+	// of
+	// it only by their own writes would each lose a caller, so one that hears of it asks
+	// the store first, with a read.
+	private void storeSilentElsewhere() {
+		this.patience.doubt();
+		this.probe.ask();
 	}
 
 	private void forwarded(PeerConnection connection, Message.Forward call) {
@@ -403,6 +416,10 @@
 			this.probe.ask();
 			return;
 		}
+		if (call.method().equals(STORE_SILENT)) {
+			storeSilentElsewhere();
+			return;
+		}
 		if (this.news.taken(call)) {
 			return;
 		}
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SilentStoreTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SilentStoreTests.java
@@ -94,10 +94,42 @@
 		assertThat(outcome).isCompletedWithValue(new Submission.Refused(IntakeRefusal.STORE_SILENT, Duration.ZERO));
 	}
 
+	// Guards against one caller for each entry whose job can neither be kept nor refused.
+	@Test
+	void anEntryThatHearsOfTheSilenceSendsNoJobIntoIt() {
+		this.world.runFor(4_000);
+		this.world.entries().forEach((entry) -> entry.cutFromStore(60_000));
+		this.world.runFor(100);
+		submit("a0");
+		this.world.runFor(500);
+		CompletableFuture<Submission> outcome = submitTo(1, "a1");
+		this.world.runFor(1_500);
+		assertThat(outcome).isCompletedWithValue(new Submission.Refused(IntakeRefusal.STORE_SILENT, Duration.ZERO));
+	}
+
+	// Guards against entries that stop writing because another one is cut off from the
+	// store.
+	@Test
+	void anEntryThatTheStoreAnswersGoesOnWhileAnotherOneIsCutOff() {
+		this.world.runFor(4_000);
+		this.world.entries().get(0).cutFromStore(60_000);
+		this.world.runFor(100);
+		submit("a0");
+		for (int i = 1; i < 20; i++) {
+			CompletableFuture<Submission> outcome = submitTo(1, "a" + i);
+			this.world.runFor(100);
+			assertThat(outcome).isCompletedWithValue(new Submission.Accepted());
+		}
+	}
+
 	private CompletableFuture<Submission> submit(String id) {
+		return submitTo(0, id);
+	}
+
+	private CompletableFuture<Submission> submitTo(int entry, String id) {
 		Workflow job = this.world.smallJob(id);
 		this.world.checker().submit(job, 500, false);
-		return this.world.entries().get(0).submit(job);
+		return this.world.entries().get(entry).submit(job);
 	}
 
 }
