A crash that a lasting task has outlived counts once

Cause: a task that lasts forgets its crashes after 30 s at work, while its target repeats each report for 60 s. So the crash was added and forgotten again with every report until then: a write of the job's row and two log lines a second. Found by reading.

Change: the history remembers up to which run it has forgotten crashes; a report of one of these is known. A new holder counts it once more at most, and forgets it again.

Evidence: CrashHistoryTests#aReportOfAForgottenCrashCountsNothing fails before, passes after.

--- a/core/src/main/java/org/almondmount/workflow/impl/CrashHistory.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/CrashHistory.java
@@ -56,6 +56,9 @@
 
 	private long aloneUntil = Long.MIN_VALUE;
 
+	/** Crashes of runs up to this one are forgotten for good; reports are repeated. */
+	private int forgottenUpTo;
+
 	/**
 	 * Takes note of a crash.
 	 * @param now the steady clock
@@ -73,6 +76,9 @@
 	}
 
 	private boolean knows(Crash crash) {
+		if (crash.run() <= this.forgottenUpTo) {
+			return true;
+		}
 		boolean full = !crash.seen() && this.crashes.size() >= MOST_CRASHES;
 		return full || this.crashes.stream()
 			.anyMatch((known) -> known.run() == crash.run() && (known.seen() || !crash.seen()));
@@ -92,6 +98,9 @@
 
 	/** A run of the task has shown that it is not to blame. */
 	void clear() {
+		for (Crash crash : this.crashes) {
+			this.forgottenUpTo = Math.max(this.forgottenUpTo, crash.run());
+		}
 		this.crashes.clear();
 	}
 
