What a suspect puts at stake is worked out for suspects only

Placing made a table of losses for each try of any unit, though only suspects ask for it. Behaviour is untouched; placement and suspect tests pass.

--- a/core/src/main/java/org/almondmount/workflow/impl/Placer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
 
 import org.almondmount.workflow.ResourceAmount;
 import org.almondmount.workflow.SchedulerFeature;
@@ -115,9 +116,9 @@
 			return Optional.empty();
 		}
 		List<WorkerChoice> choices = new ArrayList<>(workers.size());
-		GangLosses losses = new GangLosses(this.steadyMillis.getAsLong());
+		ToDoubleFunction<Worker> atStake = atStake(unit);
 		for (Worker worker : workers) {
-			choices.add(new WorkerChoice(worker, atStake(unit, worker, losses), worker.health().doubt(),
+			choices.add(new WorkerChoice(worker, atStake.applyAsDouble(worker), worker.health().doubt(),
 					fitCost(worker, rooms.free(worker))));
 		}
 		choices.sort(WorkerChoice.ORDER);
@@ -151,14 +152,14 @@
 		String near = unit.step().spec().placement().dataRack();
 		Worker best = null;
 		double bestCost = Double.MAX_VALUE;
-		GangLosses losses = new GangLosses(this.steadyMillis.getAsLong());
+		ToDoubleFunction<Worker> atStake = atStake(unit);
 		for (Worker worker : workers) {
 			if (!rooms.takes(worker, unit)) {
 				continue;
 			}
 			double cost = fitCost(worker, rooms.free(worker).minus(unit.room()));
 			cost += farCost(near, worker) + worker.health().doubt() * DOUBT_COST;
-			cost += atStake(unit, worker, losses) * CORE_SECOND_COST;
+			cost += atStake.applyAsDouble(worker) * CORE_SECOND_COST;
 			if (cost < bestCost) {
 				best = worker;
 				bestCost = cost;
@@ -167,8 +168,13 @@
 		return (best != null) ? Optional.of(Map.of(unit.tasks().get(0), best)) : Optional.empty();
 	}
 
-	private static double atStake(WorkUnit unit, Worker worker, GangLosses losses) {
-		return unit.caution().suspect() ? losses.besides(worker, unit.step()) : 0;
+	// What a unit may take down with a worker; nothing unless it is a suspect.
+	private ToDoubleFunction<Worker> atStake(WorkUnit unit) {
+		if (!unit.caution().suspect()) {
+			return (worker) -> 0;
+		}
+		GangLosses losses = new GangLosses(this.steadyMillis.getAsLong());
+		return (worker) -> losses.besides(worker, unit.step());
 	}
 
 	private double fitCost(Worker worker, ResourceAmount free) {
