A job that the store does not answer here is passed on to an entry that it answers

Cause: five entries, the holder among them, were cut off from the store. The entry of the job passed it on once, to the holder, which was cut off as well and refused it after 1 ms; then it was held to the end of its caller's time.

Change: entries already tell each other when the store falls silent and when it answers again; each now remembers that of its peers (PeerStores). A job goes to an entry that the store has answered since, else to one of which nothing speaks against it, and on to the next where that one can't take it. Each is asked once. Where the store answers another entry, the job need not wait until a slow answer would have come.

Ruled out: the client's retries. A job that was sent may be kept, so the entry can't refuse it; waiting elsewhere would not help before the answer.

--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -72,6 +72,8 @@
 
 	private final PeerLinks peers;
 
+	private final PeerStores peerStores;
+
 	private final TargetLinks targets;
 
 	private final TermDriver term;
@@ -120,6 +122,7 @@
 		this.self = new PeerInfo(PeerInfo.Role.ENTRY, run, settings.peerAddress(), settings.zone(), Optional.empty(), 0,
 				loop.wallMillis());
 		this.peers = new PeerLinks(settings.peerAddress(), this.loop, this::dial);
+		this.peerStores = new PeerStores(this.peers);
 		this.targets = new TargetLinks(this.peers::connectedAddresses);
 		this.term = new TermDriver(new TermSettings(run, settings.peerAddress(), settings.termLength().toMillis()),
 				store, this.loop, this.patience, telemetry, this::writesOf, new TermListener());
@@ -130,8 +133,8 @@
 					.withFeatures(settings.features())),
 				store, this.loop, telemetry, this.term, this.targets, settings.lease().toMillis());
 		EntryCalls calls = new EntryCalls(this.term, this.peers, this.loop);
-		this.intake = new JobIntake(store, this.loop, this.patience, telemetry, this.holder, this.term, this.peers,
-				calls, this::priorityOf);
+		this.intake = new JobIntake(store, this.loop, this.patience, telemetry, this.holder, this.peers,
+				this.peerStores, calls, this::priorityOf);
 		this.desk = new FrontDesk(store, this.loop, this.patience, this.holder, calls, this.intake);
 		this.probe = new StoreProbe(store, this.loop, this.patience, this.intake::anyWaiting);
 		this.declared = new DeclaredState(store, reader, this.loop, this::inForce, this.probe::ask);
@@ -140,7 +143,7 @@
 		this.probe.whenAnswering(this.term::storeAnswers);
 		this.probe.whenAnswering(this.intake::storeAnswers);
 		this.probe.whenAnswering(() -> tellEntries(STORE_ANSWERS));
-		this.patience.whenSilent(() -> tellEntries(STORE_SILENT));
+		this.patience.whenSilent(this::storeSilentHere);
 		telemetry.gauge("term.epoch", this.term::epoch);
 	}
 
@@ -402,22 +405,29 @@
 		this.peers.broadcast(new Message.Forward(0, "", news, "", new byte[0], Map.of()));
 	}
 
+	private void storeSilentHere() {
+		this.peerStores.silentHere();
+		tellEntries(STORE_SILENT);
+	}
+
 	// A job that is sent into the silence can no longer be refused. Entries that learnt
 	// of
 	// it only by their own writes would each lose a caller, so one that hears of it asks
 	// the store first, with a read.
-	private void storeSilentElsewhere() {
+	private void storeSilentAt(String address) {
+		this.peerStores.silentAt(address);
 		this.patience.doubt();
 		this.probe.ask();
 	}
 
 	private void forwarded(PeerConnection connection, Message.Forward call) {
 		if (call.method().equals(STORE_ANSWERS)) {
+			this.peerStores.answersAt(connection.peer().address());
 			this.probe.ask();
 			return;
 		}
 		if (call.method().equals(STORE_SILENT)) {
-			storeSilentElsewhere();
+			storeSilentAt(connection.peer().address());
 			return;
 		}
 		if (this.news.taken(call)) {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/IntakeAttempt.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/IntakeAttempt.java
@@ -1,5 +1,7 @@
 package org.almondmount.fleet.entry;
 
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import org.almondmount.fleet.Submission;
@@ -26,7 +28,8 @@
 
 	private final CompletableFuture<Submission> outcome;
 
-	private boolean mayAskPeer;
+	/** Addresses of the entries that were asked to accept it. */
+	private final Set<String> peersAsked = new HashSet<>();
 
 	private boolean accepted;
 
@@ -51,7 +54,6 @@
 		this.arrivedMillis = arrivedMillis;
 		this.patienceMillis = patienceMillis;
 		this.forPeer = forPeer;
-		this.mayAskPeer = !forPeer;
 		this.outcome = outcome;
 	}
 
@@ -91,12 +93,18 @@
 		return this.outcome;
 	}
 
-	boolean mayAskPeer() {
-		return this.mayAskPeer;
+	/**
+	 * Whether an entry may be asked to accept it. Each is asked once; what comes from
+	 * another entry is not passed on.
+	 * @param address the entry's address
+	 * @return whether it may
+	 */
+	boolean mayAskPeer(String address) {
+		return !this.forPeer && !this.peersAsked.contains(address);
 	}
 
-	void peerAsked() {
-		this.mayAskPeer = false;
+	void peerAsked(String address) {
+		this.peersAsked.add(address);
 	}
 
 	boolean accepted() {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
@@ -71,10 +71,10 @@
 
 	private final HolderDesk holder;
 
-	private final TermDriver term;
-
 	private final PeerLinks peers;
 
+	private final PeerStores peerStores;
+
 	private final EntryCalls calls;
 
 	private final ToIntFunction<String> priorityOf;
@@ -97,20 +97,20 @@
 	 * @param patience how long the store is waited for
 	 * @param telemetry the process's metrics
 	 * @param holder the scheduler of this entry
-	 * @param term knows who holds the term
 	 * @param peers the other entries
+	 * @param peerStores which of them reach the store
 	 * @param calls the way to the holder
 	 * @param priorityOf the priority of a queue, 0 for the most urgent
 	 */
 	JobIntake(RowStore store, Loop loop, StorePatience patience, Telemetry telemetry, HolderDesk holder,
-			TermDriver term, PeerLinks peers, EntryCalls calls, ToIntFunction<String> priorityOf) {
+			PeerLinks peers, PeerStores peerStores, EntryCalls calls, ToIntFunction<String> priorityOf) {
 		this.store = store;
 		this.loop = loop;
 		this.patience = patience;
 		this.telemetry = telemetry;
 		this.holder = holder;
-		this.term = term;
 		this.peers = peers;
+		this.peerStores = peerStores;
 		this.calls = calls;
 		this.priorityOf = priorityOf;
 		telemetry.declare(REFUSED, IntakeRefusal.class);
@@ -216,14 +216,15 @@
 	}
 
 	// A job that was sent to a store that does not answer can no longer be refused. So
-	// where no answer is to be expected it is not sent, but asks another entry once and
-	// waits.
+	// where no answer is to be expected it is not sent, but passed on to the entries that
+	// may reach the store, and waits.
 	private void notTaken(IntakeAttempt attempt) {
 		if (attempt.accepted()) {
 			return;
 		}
-		if (attempt.mayAskPeer()) {
-			askPeer(attempt);
+		Optional<String> peer = this.peerStores.mayAnswer(attempt::mayAskPeer);
+		if (peer.isPresent() && attempt.leftMillis(this.loop.steadyMillis()) > 0) {
+			askPeer(attempt, peer.get());
 			return;
 		}
 		standInLine(attempt);
@@ -245,7 +246,7 @@
 	private void lookAtLine() {
 		long now = this.loop.steadyMillis();
 		this.line.takeExpired(now).forEach(this::giveUp);
-		this.line.takeFirst((attempt) -> hasToAskPeer(now, attempt)).ifPresent(this::askPeer);
+		this.line.takeFirst((attempt) -> hasToAskPeer(now, attempt)).ifPresent(this::notTaken);
 		boolean retry = now >= this.nextRetry && this.writing == 0 && !this.patience.expectsSilence();
 		if (retry && this.line.size() > 0) {
 			this.nextRetry = now + RETRY_MILLIS;
@@ -255,10 +256,14 @@
 
 	// A store that does not answer this entry may answer another one, or be slow for all.
 	// A slow one would be held up by a second copy, so that is asked for only when a slow
-	// answer would have come.
+	// answer would have come, or where the store has answered the other entry meanwhile.
 	private boolean hasToAskPeer(long now, IntakeAttempt attempt) {
-		return attempt.mayAskPeer() && this.patience.expectsSilence()
-				&& now - attempt.lastCopyAt() >= SLOW_ANSWER_MILLIS;
+		if (!this.patience.expectsSilence()) {
+			return false;
+		}
+		return (now - attempt.lastCopyAt() >= SLOW_ANSWER_MILLIS)
+				? this.peerStores.mayAnswer(attempt::mayAskPeer).isPresent()
+				: this.peerStores.surelyAnswers(attempt::mayAskPeer).isPresent();
 	}
 
 	// One job finds out whether a store that refused takes jobs again; the others follow
@@ -287,19 +292,11 @@
 
 	// The store may turn away this entry and serve another one. Both write the same row
 	// on the condition that it is not there, so it does not matter whose write is first.
-	private void askPeer(IntakeAttempt attempt) {
-		attempt.peerAsked();
-		Optional<String> other = this.term.holder()
-			.map((row) -> row.address())
-			.filter(this.peers::connectedTo)
-			.or(() -> this.peers.anyOther(""));
+	private void askPeer(IntakeAttempt attempt, String peer) {
+		attempt.peerAsked(peer);
 		long left = attempt.leftMillis(this.loop.steadyMillis());
-		if (other.isEmpty() || left <= 0) {
-			notTaken(attempt);
-			return;
-		}
 		byte[] body = attempt.text().getBytes(StandardCharsets.UTF_8);
-		this.loop.then(this.peers.call(other.get(), EntryCalls.SUBMIT, attempt.job().id(), body,
+		this.loop.then(this.peers.call(peer, EntryCalls.SUBMIT, attempt.job().id(), body,
 				Math.min(left, EntryCalls.HOLDER_MILLIS)), (answer) -> {
 					int status = answer.map(Message.ForwardAnswer::status).orElse(EntryCalls.UNSETTLED);
 					if (status == EntryCalls.OK) {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/PeerLinks.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/PeerLinks.java
@@ -110,12 +110,12 @@
 		return peer != null && peer.connected();
 	}
 
-	Optional<String> anyOther(String address) {
-		return this.peers.values()
-			.stream()
-			.filter((peer) -> peer.connected() && !peer.address.equals(address))
-			.map((peer) -> peer.address)
-			.findFirst();
+	/**
+	 * Addresses of the other entries that are connected.
+	 * @return the addresses
+	 */
+	List<String> others() {
+		return this.peers.values().stream().filter(Peer::connected).map((peer) -> peer.address).toList();
 	}
 
 	void broadcast(Message message) {
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SilentStoreTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SilentStoreTests.java
@@ -122,6 +122,19 @@
 		}
 	}
 
+	// Guards against a job that is lost because the entry that its own entry asks, the
+	// holder, is cut off from the store too.
+	@Test
+	void aJobIsKeptThroughAnEntryThatReachesTheStoreWhereTheHolderDoesNot() {
+		this.world.runFor(4_000);
+		FleetWorld.EntryProcess asked = this.world.anyButTheHolder();
+		this.world.theHolder().cutFromStore(10_000);
+		asked.cutFromStore(10_000);
+		CompletableFuture<Submission> outcome = submitTo(this.world.entries().indexOf(asked), "a0");
+		this.world.runFor(600);
+		assertThat(outcome).isCompletedWithValue(new Submission.Accepted());
+	}
+
 	private CompletableFuture<Submission> submit(String id) {
 		return submitTo(0, id);
 	}
