How workers keep progress is a setting of the installation

Hypothesis: what a run that saves loses when it gives way was reckoned with 600 ms, and what a checkpoint holds with 1 s, the figures of one deployment. Others take 100 or 250 ms to go on and save each 0.5 to 2 s, so that victims are chosen by wrong costs.

GangLosses reckons for one run and for a gang; nobody else does.

Measured: tests of the scheduler, codecs and rehearsal pass.

--- a/core/src/main/java/org/almondmount/workflow/SchedulerPolicy.java
+++ b/core/src/main/java/org/almondmount/workflow/SchedulerPolicy.java
@@ -14,10 +14,12 @@
  * @param refusalPauseMillis how long a worker that refused a run gets nothing new
  * @param stopMillis how long a worker takes at most to end a run
  * @param statusMillis how long callers can ask for a job that has ended
+ * @param checkpointing how workers keep the progress of tasks
  * @param features what it does beyond its promises
  */
 public record SchedulerPolicy(long leaseMillis, long usableSilenceMillis, long orderRetryMillis,
-		long refusalPauseMillis, long stopMillis, long statusMillis, Set<SchedulerFeature> features) {
+		long refusalPauseMillis, long stopMillis, long statusMillis, Checkpointing checkpointing,
+		Set<SchedulerFeature> features) {
 
 	/**
 	 * Two heartbeats of a target may be missing before it counts as silent, an order is
@@ -26,7 +28,7 @@
 	 * a run.
 	 */
 	public static final SchedulerPolicy DEFAULT = new SchedulerPolicy(6_000, 2_500, 800, 300, 900, 600_000,
-			SchedulerFeature.ALL);
+			Checkpointing.DEFAULT, SchedulerFeature.ALL);
 
 	/** A worker's clock may be 2 % slow, and a lease is measured on it. */
 	private static final double SLOWEST_CLOCK = 1.02;
@@ -40,22 +42,27 @@
 
 	public SchedulerPolicy withLeaseMillis(long millis) {
 		return new SchedulerPolicy(millis, this.usableSilenceMillis, this.orderRetryMillis, this.refusalPauseMillis,
-				this.stopMillis, this.statusMillis, this.features);
+				this.stopMillis, this.statusMillis, this.checkpointing, this.features);
 	}
 
 	public SchedulerPolicy withStopMillis(long millis) {
 		return new SchedulerPolicy(this.leaseMillis, this.usableSilenceMillis, this.orderRetryMillis,
-				this.refusalPauseMillis, millis, this.statusMillis, this.features);
+				this.refusalPauseMillis, millis, this.statusMillis, this.checkpointing, this.features);
 	}
 
 	public SchedulerPolicy withStatusMillis(long millis) {
 		return new SchedulerPolicy(this.leaseMillis, this.usableSilenceMillis, this.orderRetryMillis,
-				this.refusalPauseMillis, this.stopMillis, millis, this.features);
+				this.refusalPauseMillis, this.stopMillis, millis, this.checkpointing, this.features);
+	}
+
+	public SchedulerPolicy withCheckpointing(Checkpointing other) {
+		return new SchedulerPolicy(this.leaseMillis, this.usableSilenceMillis, this.orderRetryMillis,
+				this.refusalPauseMillis, this.stopMillis, this.statusMillis, other, this.features);
 	}
 
 	public SchedulerPolicy withFeatures(Set<SchedulerFeature> some) {
 		return new SchedulerPolicy(this.leaseMillis, this.usableSilenceMillis, this.orderRetryMillis,
-				this.refusalPauseMillis, this.stopMillis, this.statusMillis, some);
+				this.refusalPauseMillis, this.stopMillis, this.statusMillis, this.checkpointing, some);
 	}
 
 	public SchedulerPolicy without(SchedulerFeature feature) {
--- a/core/src/main/java/org/almondmount/workflow/impl/GangLosses.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/GangLosses.java
@@ -11,14 +11,18 @@
 
 	private final long now;
 
+	private final long restoreMillis;
+
 	private final Map<StepState, Double> ofGangs = new HashMap<>();
 
 	/**
 	 * Reckons with a moment.
 	 * @param now the steady clock
+	 * @param restoreMillis how long a task takes to go on from a checkpoint
 	 */
-	GangLosses(long now) {
+	GangLosses(long now, long restoreMillis) {
 		this.now = now;
+		this.restoreMillis = restoreMillis;
 	}
 
 	/**
@@ -29,11 +33,20 @@
 	double of(Run run) {
 		StepState step = run.task().step();
 		if (!step.spec().gang()) {
-			return RunWork.lossIfStopped(run, this.now);
+			return alone(run);
 		}
 		return this.ofGangs.computeIfAbsent(step, this::ofGang);
 	}
 
+	/**
+	 * What would be lost with a run itself, whatever becomes of its gang.
+	 * @param run the run
+	 * @return core-seconds
+	 */
+	double alone(Run run) {
+		return RunWork.lossIfStopped(run, this.now, this.restoreMillis);
+	}
+
 	/**
 	 * What would be lost on a worker besides a step's own tasks if it crashed.
 	 * @param worker the worker
@@ -52,7 +65,7 @@
 		double loss = 0;
 		for (TaskState task : step.tasks()) {
 			for (Run member : task.openRuns()) {
-				loss += RunWork.lossIfStopped(member, this.now);
+				loss += alone(member);
 			}
 		}
 		return loss;
--- a/core/src/main/java/org/almondmount/workflow/impl/Placer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -173,10 +173,19 @@
 		if (!unit.caution().suspect()) {
 			return (worker) -> 0;
 		}
-		GangLosses losses = new GangLosses(this.steadyMillis.getAsLong());
+		GangLosses losses = losses(this.steadyMillis.getAsLong());
 		return (worker) -> losses.besides(worker, unit.step());
 	}
 
+	/**
+	 * What is lost with runs at a moment.
+	 * @param now the steady clock
+	 * @return the losses, made for one search
+	 */
+	GangLosses losses(long now) {
+		return new GangLosses(now, this.policy.checkpointing().restoreMillis());
+	}
+
 	private double fitCost(Worker worker, ResourceAmount free) {
 		return this.policy.has(SchedulerFeature.PACK_TIGHTLY) ? free.shareOf(worker.capacity()) : 0;
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/Preemption.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Preemption.java
@@ -89,11 +89,12 @@
 		if (!cleared.takesAll(workers, unit)) {
 			return Optional.empty();
 		}
-		Search search = new Search(now, unit, room.get(), candidates, new GangLosses(now));
+		GangLosses losses = this.placer.losses(now);
+		Search search = new Search(unit, room.get(), candidates, losses);
 		List<Worker> cheapFirst = search.cheapFirst(workers);
 		Map<TaskState, Worker> placement = Placer.fillInOrder(unit, cheapFirst, cleared).orElseThrow();
 		Set<Run> victims = search.victims(placement);
-		double cost = victims.stream().mapToDouble((run) -> RunWork.lossIfStopped(run, now)).sum();
+		double cost = victims.stream().mapToDouble(losses::alone).sum();
 		return Optional.of(new Plan(placement, victims, cost));
 	}
 
@@ -110,13 +111,12 @@
 	/**
 	 * One search for what gives way.
 	 *
-	 * @param now the steady clock
 	 * @param unit what is to be placed
 	 * @param free the room that is there for it
 	 * @param candidates the runs that may be stopped
 	 * @param losses what is lost with each
 	 */
-	private record Search(long now, WorkUnit unit, Rooms free, Set<Run> candidates, GangLosses losses) {
+	private record Search(WorkUnit unit, Rooms free, Set<Run> candidates, GangLosses losses) {
 
 		List<Worker> cheapFirst(List<Worker> workers) {
 			Map<Worker, Double> costs = new HashMap<>();
--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -24,12 +24,6 @@
 
 	private static final double MILLIS = 1_000.0;
 
-	/**
-	 * What a checkpoint holds at least, in milliseconds: workers save once a second, and
-	 * the first one that is heard of may hold any amount.
-	 */
-	private static final long LEAST_SAVED_MILLIS = 1_000;
-
 	private final TaskState task;
 
 	private final int number;
@@ -212,12 +206,18 @@
 		}
 	}
 
-	void seenSaved(String checkpoint) {
+	/**
+	 * Takes note of its checkpoint.
+	 * @param checkpoint the checkpoint, or empty
+	 * @param leastMillis work that a checkpoint holds at least: the first one that is
+	 * heard of may hold any amount
+	 */
+	void seenSaved(String checkpoint, long leastMillis) {
 		if (checkpoint.isEmpty() || checkpoint.equals(this.saved)) {
 			return;
 		}
 		long since = Math.max(this.startedMillis, this.savedAtMillis);
-		long millis = Math.max(LEAST_SAVED_MILLIS, this.seenMillis - since);
+		long millis = Math.max(leastMillis, this.seenMillis - since);
 		this.saved = checkpoint;
 		this.savedAtMillis = this.seenMillis;
 		this.task.step().job().saved(room().coreEquivalents() * millis / MILLIS);
--- a/core/src/main/java/org/almondmount/workflow/impl/RunWork.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunWork.java
@@ -20,12 +20,6 @@
 
 	private static final double MILLIS = 1_000.0;
 
-	/**
-	 * What a task that saves its progress loses by a stop, in milliseconds: it saves when
-	 * it is stopped, and takes about that long to go on from there.
-	 */
-	private static final long RESTORE_MILLIS = 600;
-
 	/** Two orders and their way, in milliseconds; room is held meanwhile. */
 	private static final long ORDER_MILLIS = 200;
 
@@ -52,14 +46,17 @@
 	}
 
 	/**
-	 * How much work would be lost if a run was stopped now.
+	 * How much work would be lost if a run was stopped now. A task that saves its
+	 * progress does so when it is stopped, and loses the time that it takes to go on from
+	 * there.
 	 * @param run the run
 	 * @param now the steady clock
+	 * @param restoreMillis how long a task takes to go on from a checkpoint
 	 * @return core-seconds
 	 */
-	static double lossIfStopped(Run run, long now) {
+	static double lossIfStopped(Run run, long now, long restoreMillis) {
 		Step step = run.task().step().spec();
-		double millis = step.checkpoints() ? RESTORE_MILLIS : run.workedMillis(now) + ORDER_MILLIS;
+		double millis = step.checkpoints() ? restoreMillis : run.workedMillis(now) + ORDER_MILLIS;
 		return step.room().coreEquivalents() * (run.running() ? millis : ORDER_MILLIS) / MILLIS;
 	}
 
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
@@ -222,7 +222,7 @@
 		}
 		Run run = known.get();
 		run.seenRunning(this.state.steadyMillis(), running.percent());
-		run.seenSaved(running.checkpoint());
+		run.seenSaved(running.checkpoint(), this.state.policy().checkpointing().intervalMillis());
 		run.task().checkpoint(running.checkpoint());
 		if (!run.task().step().spec().gang()) {
 			run.atWork(this.state.steadyMillis());
--- a/fleet/src/main/java/org/almondmount/fleet/FleetSettings.java
+++ b/fleet/src/main/java/org/almondmount/fleet/FleetSettings.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 
 import org.almondmount.wire.PeerSettings;
+import org.almondmount.workflow.Checkpointing;
 import org.almondmount.workflow.SchedulerFeature;
 
 /**
@@ -19,10 +20,12 @@
  * @param drain time for an orderly end
  * @param stop how long a worker takes at most to end a run
  * @param status how long callers can ask for a job that has ended
+ * @param checkpointing how workers keep the progress of tasks
  * @param features what the scheduler does beyond its promises
  */
 public record FleetSettings(String name, String zone, InetSocketAddress peers, String sharedKey, Duration lease,
-		Duration termLength, Duration drain, Duration stop, Duration status, Set<SchedulerFeature> features) {
+		Duration termLength, Duration drain, Duration stop, Duration status, Checkpointing checkpointing,
+		Set<SchedulerFeature> features) {
 
 	/** Two words of a peer may be missing before its connection counts as dead. */
 	private static final Duration PEER_SILENCE = Duration.ofMillis(2_500);
@@ -35,7 +38,7 @@
 
 	public FleetSettings withFeatures(Set<SchedulerFeature> some) {
 		return new FleetSettings(this.name, this.zone, this.peers, this.sharedKey, this.lease, this.termLength,
-				this.drain, this.stop, this.status, some);
+				this.drain, this.stop, this.status, this.checkpointing, some);
 	}
 
 	public PeerSettings peer() {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -130,6 +130,7 @@
 				new DefaultWorkflowScheduler(SchedulerPolicy.DEFAULT.withLeaseMillis(settings.lease().toMillis())
 					.withStopMillis(settings.stop().toMillis())
 					.withStatusMillis(settings.status().toMillis())
+					.withCheckpointing(settings.checkpointing())
 					.withFeatures(settings.features())),
 				store, this.loop, telemetry, this.term, this.targets, settings.lease().toMillis());
 		EntryCalls calls = new EntryCalls(this.term, this.peers, this.loop);
--- a/fleet/src/main/java/org/almondmount/fleet/rehearsal/FleetRehearsal.java
+++ b/fleet/src/main/java/org/almondmount/fleet/rehearsal/FleetRehearsal.java
@@ -24,6 +24,7 @@
 import org.almondmount.net.IoThreads;
 import org.almondmount.telemetry.Telemetry;
 import org.almondmount.wire.impl.NettyWire;
+import org.almondmount.workflow.Checkpointing;
 import org.almondmount.workflow.FleetConfiguration;
 import org.almondmount.workflow.FleetCustomer;
 import org.almondmount.workflow.JobQueue;
@@ -132,7 +133,7 @@
 	private static FleetSettings settings(String name) throws IOException {
 		return new FleetSettings(name, "zone", new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort()),
 				"a key for the rehearsal alone", LEASE, Duration.ofSeconds(2), Duration.ofSeconds(1),
-				Duration.ofMillis(200), Duration.ofMinutes(2), SchedulerFeature.ALL);
+				Duration.ofMillis(200), Duration.ofMinutes(2), Checkpointing.DEFAULT, SchedulerFeature.ALL);
 	}
 
 	private static int freePort() throws IOException {
--- a/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/FleetWorld.java
@@ -26,6 +26,7 @@
 import org.almondmount.telemetry.EventLog;
 import org.almondmount.telemetry.Telemetry;
 import org.almondmount.term.TermRow;
+import org.almondmount.workflow.Checkpointing;
 import org.almondmount.workflow.FleetConfiguration;
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.ResourceAmount;
@@ -322,7 +323,7 @@
 		FleetSettings settings(int port) {
 			return new FleetSettings(this.name, "zone-0", new InetSocketAddress("127.0.0.1", port), "key", LEASE,
 					Duration.ofMillis(2_400), Duration.ofSeconds(5), Duration.ofMillis(900), STATUS,
-					SchedulerFeature.ALL);
+					Checkpointing.DEFAULT, SchedulerFeature.ALL);
 		}
 
 		boolean dead() {
