A holder pauses before it repeats a commit that is reset again and again

Cause: an unanswered commit is sent again at once, which is right after a silence, since the time of the answer has passed already. A reset comes after milliseconds.

Change: at once the first time, from the second time on after 50 ms. The return of the store, told by the probe, still sends it at once.

Evidence: TermKeeperTests#aCommitThatWasUnansweredTwiceWaitsBeforeItIsSentAgain fails before, passes after; tests of silent and slow stores and of draining holders pass.

--- a/core/src/main/java/org/almondmount/term/TermKeeper.java
+++ b/core/src/main/java/org/almondmount/term/TermKeeper.java
@@ -23,6 +23,12 @@
 	/** The value of {@link #validUntilMillis()} outside of a term. */
 	public static final long NEVER = Long.MIN_VALUE;
 
+	/**
+	 * Pause before a commit is sent again that was unanswered before, in milliseconds. A
+	 * store that resets each call would be called as fast as it does.
+	 */
+	private static final long UNANSWERED_PAUSE_MILLIS = 50;
+
 	/** Pause before a refused commit is sent again, in milliseconds. */
 	private static final long REFUSED_PAUSE_MILLIS = 120;
 
@@ -74,6 +80,8 @@
 	/** Whether the store refused the pending commit at least once. */
 	private boolean commitRefused;
 
+	private boolean unansweredBefore;
+
 	private long sentAt;
 
 	private long resendAt;
@@ -142,7 +150,8 @@
 			again(now, refused.commit(), REFUSED_PAUSE_MILLIS);
 		}
 		else if (event instanceof TermEvent.Unanswered unanswered) {
-			again(now, unanswered.commit(), 0);
+			again(now, unanswered.commit(), this.unansweredBefore ? UNANSWERED_PAUSE_MILLIS : 0);
+			this.unansweredBefore = true;
 		}
 		else if (event instanceof TermEvent.HolderHeard heard) {
 			holderHeard(now, heard.epoch());
@@ -380,6 +389,7 @@
 		if (first) {
 			this.sentAt = now;
 			this.commitRefused = false;
+			this.unansweredBefore = false;
 		}
 		this.commands.add(commit);
 	}
--- a/core/src/test/java/org/almondmount/term/TermKeeperTests.java
+++ b/core/src/test/java/org/almondmount/term/TermKeeperTests.java
@@ -66,6 +66,18 @@
 			.contains(new TermCommand.Saved(11));
 	}
 
+	// Guards against a store that resets each call and is called a hundred times a
+	// second.
+	@Test
+	void aCommitThatWasUnansweredTwiceWaitsBeforeItIsSentAgain() {
+		hold();
+		long commit = commitIn(feed(new TermEvent.Save(11))).row().commit();
+		commitIn(feed(new TermEvent.Unanswered(commit)));
+		assertThat(commits(feed(new TermEvent.Unanswered(commit)))).isEmpty();
+		this.now += 50;
+		commitIn(feed(new TermEvent.Tick()));
+	}
+
 	@Test
 	void aHolderWhoseRowAnotherOneWroteDecidesNoMore() {
 		hold();
