The next term begins a second earlier after a holder's VM is lost

Cause: entries looked at the holder's row only after two of its words were missing (0.9 s), and counted the term's whole 2 s from that look on, though the row had been unchanged long before.

Ways: three fifths of the length was tried and not kept.

A holder that the others do not hear, but that reaches the store, keeps its term. Why it is safe: a commit that was spoken of was in the store by then, and the term is taken on the condition that the row still shows it.

--- a/core/src/main/java/org/almondmount/term/TermEvent.java
+++ b/core/src/main/java/org/almondmount/term/TermEvent.java
@@ -36,8 +36,14 @@
 	record Unanswered(long commit) implements TermEvent {
 	}
 
-	/** The holder of that epoch spoke and says that its term is valid. */
-	record HolderHeard(long epoch) implements TermEvent {
+	/**
+	 * An entry says that it holds the term.
+	 *
+	 * @param epoch the epoch
+	 * @param commit the number of its last commit that is in the store, 0 where it does
+	 * not say
+	 */
+	record HolderHeard(long epoch, long commit) implements TermEvent {
 	}
 
 	/**
--- a/core/src/main/java/org/almondmount/term/TermKeeper.java
+++ b/core/src/main/java/org/almondmount/term/TermKeeper.java
@@ -34,6 +34,8 @@
 
 	private final TermSettings settings;
 
+	private final TermLength length;
+
 	/**
 	 * A holder whose commits are refused for so long gives the term up, in milliseconds:
 	 * the store may turn away this entry alone.
@@ -62,6 +64,14 @@
 
 	private long holderHeardAt = Long.MIN_VALUE;
 
+	/** What the holder said last, and when it said so for the first time. */
+	private TermEvent.HolderHeard lastWord = new TermEvent.HolderHeard(0, 0);
+
+	private long lastWordAt;
+
+	/** The number of this entry's last commit that is in the store. */
+	private long keptCommit;
+
 	private long epoch;
 
 	/** A term that was taken while this entry is told to end never begins. */
@@ -96,6 +106,7 @@
 
 	public TermKeeper(TermSettings settings) {
 		this.settings = settings;
+		this.length = new TermLength(settings.lengthMillis());
 	}
 
 	/**
@@ -115,6 +126,14 @@
 		return this.epoch;
 	}
 
+	/**
+	 * This entry's last commit that is in the store.
+	 * @return its number, 0 where there is none
+	 */
+	public long keptCommit() {
+		return this.keptCommit;
+	}
+
 	/**
 	 * Takes one event.
 	 * @param now the driver's steady clock in milliseconds
@@ -154,7 +173,7 @@
 			this.unansweredBefore = true;
 		}
 		else if (event instanceof TermEvent.HolderHeard heard) {
-			holderHeard(now, heard.epoch());
+			holderHeard(now, heard);
 		}
 		else if (event instanceof TermEvent.HolderQuit quit) {
 			holderQuit(now, quit.epoch());
@@ -174,10 +193,25 @@
 		}
 	}
 
-	private void holderHeard(long now, long heardEpoch) {
-		if (heardEpoch >= this.row.map(TermRow::epoch).orElse(0L)) {
+	private void holderHeard(long now, TermEvent.HolderHeard said) {
+		if (said.epoch() >= this.row.map(TermRow::epoch).orElse(0L)) {
 			this.holderHeardAt = now;
 		}
+		if (!said.equals(this.lastWord)) {
+			this.lastWord = said;
+			this.lastWordAt = now;
+		}
+	}
+
+	// A commit that its holder spoke of was in the store by then, so that the row need
+	// not
+	// have been read to know since when it is unchanged.
+	private long unchangedSince(long now, Optional<TermRow> read) {
+		boolean spokenOf = read
+			.filter((row) -> row.commit() != 0 && row.epoch() == this.lastWord.epoch()
+					&& row.commit() == this.lastWord.commit())
+			.isPresent();
+		return spokenOf ? this.lastWordAt : now;
 	}
 
 	// What was sent into the silence is lost. Waiting for its answer would leave the
@@ -203,7 +237,7 @@
 		this.looked = true;
 		if (readVersion != this.version) {
 			this.version = readVersion;
-			this.unchangedSince = now;
+			this.unchangedSince = unchangedSince(now, read);
 			read.filter((other) -> !isOwn(other) && !other.released())
 				.ifPresent((other) -> this.commands.add(new TermCommand.HolderSeen(other)));
 		}
@@ -227,12 +261,15 @@
 			this.commands.add(new TermCommand.Released(done.row().epoch()));
 			return;
 		}
-		long until = this.sentAt + this.settings.validForMillis();
+		this.keptCommit = commit;
+		this.length.committed(now - this.sentAt);
+		long lengthMillis = done.row().lengthMillis();
+		long until = this.sentAt + TermLength.validForMillis(lengthMillis);
 		if (now >= until) {
 			return;
 		}
 		this.validUntil = until;
-		this.nextRenewal = this.sentAt + this.settings.renewEveryMillis();
+		this.nextRenewal = this.sentAt + TermLength.renewAfterMillis(lengthMillis);
 		if (this.epoch == 0) {
 			this.epoch = done.row().epoch();
 			this.wantedSave = 0;
@@ -350,7 +387,7 @@
 			long save = this.wantedSave;
 			this.wantedSave = 0;
 			TermRow next = new TermRow(this.settings.self(), this.settings.address(), this.epoch, ++this.lastCommit,
-					this.settings.lengthMillis(), release);
+					this.length.millis(), release);
 			send(now, new TermCommand.Commit(next, this.version, save), true);
 		}
 	}
@@ -360,7 +397,7 @@
 		if (this.looked && quiet && mayTake(now)) {
 			long next = this.row.map(TermRow::epoch).orElse(0L) + 1;
 			TermRow taken = new TermRow(this.settings.self(), this.settings.address(), next, ++this.lastCommit,
-					this.settings.lengthMillis(), false);
+					this.length.millis(), false);
 			send(now, new TermCommand.Commit(taken, Math.max(0, this.version), 0), true);
 			return;
 		}
--- a/core/src/test/java/org/almondmount/term/TermKeeperTests.java
+++ b/core/src/test/java/org/almondmount/term/TermKeeperTests.java
@@ -35,6 +35,34 @@
 		assertThat(commitIn(feed(new TermEvent.RowRead(Optional.of(other(4)), 9))).row().epoch()).isEqualTo(5);
 	}
 
+	// Guards against a dead holder's row that is watched from the first look on, though
+	// the
+	// holder spoke of the commit that wrote it long before.
+	@Test
+	void aRowIsUnchangedSinceItsHolderSpokeOfItsCommit() {
+		feed(new TermEvent.Tick());
+		feed(new TermEvent.RowRead(Optional.of(other(4)), 9));
+		TermRow later = committed(4, 77);
+		feed(new TermEvent.HolderHeard(4, 77));
+		this.now += LENGTH - 100;
+		assertThat(commits(feed(new TermEvent.RowRead(Optional.of(later), 10)))).isEmpty();
+		this.now += 200;
+		TermEvent.RowRead unchanged = new TermEvent.RowRead(Optional.of(later), 10);
+		assertThat(commitIn(feed(unchanged)).row().epoch()).isEqualTo(5);
+	}
+
+	@Test
+	void aCommitOfWhichItsHolderDidNotSpeakIsWatchedFromTheLookOn() {
+		feed(new TermEvent.Tick());
+		feed(new TermEvent.RowRead(Optional.of(other(4)), 9));
+		feed(new TermEvent.HolderHeard(4, 76));
+		this.now += LENGTH - 100;
+		TermEvent.RowRead read = new TermEvent.RowRead(Optional.of(committed(4, 77)), 10);
+		feed(read);
+		this.now += 200;
+		assertThat(commits(feed(read))).isEmpty();
+	}
+
 	// The holder says that it gives the term up, because the store turns it away. Callers
 	// wait until somebody decides again, so nobody watches the row any longer.
 	@Test
@@ -168,7 +196,11 @@
 	}
 
 	private static TermRow other(long epoch) {
-		return new TermRow("other", "10.0.0.2:1", epoch, 1, LENGTH, false);
+		return committed(epoch, 1);
+	}
+
+	private static TermRow committed(long epoch, long commit) {
+		return new TermRow("other", "10.0.0.2:1", epoch, commit, LENGTH, false);
 	}
 
 	private static boolean ends(List<TermCommand> commands) {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -291,14 +291,15 @@
 
 	private void speak() {
 		this.turn++;
-		boolean holds = this.term.mayDecide();
-		if (holds || this.turn % QUIET_TURNS == 0) {
-			this.peers.broadcast(new Message.EntryHeartbeat(this.turn, this.declared.version(), heldEpoch(), holds));
+		if (this.term.mayDecide() || this.turn % QUIET_TURNS == 0) {
+			this.peers.broadcast(heartbeat());
 		}
 	}
 
-	private long heldEpoch() {
-		return this.term.mayDecide() ? this.term.epoch() : 0;
+	private Message.EntryHeartbeat heartbeat() {
+		boolean holds = this.term.mayDecide();
+		return new Message.EntryHeartbeat(this.turn, this.declared.version(), holds ? this.term.epoch() : 0, holds,
+				holds ? this.term.keptCommit() : 0);
 	}
 
 	private void quit(long epoch) {
@@ -362,8 +363,7 @@
 			return;
 		}
 		this.peers.opened(connection);
-		boolean holds = this.term.mayDecide();
-		connection.send(new Message.EntryHeartbeat(0, this.declared.version(), heldEpoch(), holds));
+		connection.send(heartbeat());
 	}
 
 	private void closed(PeerConnection connection, CloseReason reason) {
@@ -402,7 +402,7 @@
 	// up.
 	private void holderWord(PeerInfo peer, Message.EntryHeartbeat word) {
 		if (word.holder()) {
-			this.term.holderHeard(word.epoch(), peer.name(), peer.address());
+			this.term.holderHeard(word.epoch(), word.commit(), peer.name(), peer.address());
 		}
 		else if (word.epoch() > 0) {
 			this.term.holderQuit(word.epoch());
@@ -458,7 +458,7 @@
 		@Override
 		public void began(long epoch) {
 			FleetEntry.this.holder.termBegan(epoch);
-			speakAtOnce();
+			FleetEntry.this.peers.broadcast(heartbeat());
 		}
 
 		@Override
@@ -483,12 +483,6 @@
 			FleetEntry.this.released.complete(null);
 		}
 
-		private void speakAtOnce() {
-			FleetEntry entry = FleetEntry.this;
-			entry.peers.broadcast(new Message.EntryHeartbeat(entry.turn, entry.declared.version(), entry.term.epoch(),
-					entry.term.mayDecide()));
-		}
-
 	}
 
 	/**
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
@@ -87,6 +87,14 @@
 		return this.keeper.epoch();
 	}
 
+	/**
+	 * This entry's last commit that is in the store.
+	 * @return its number, 0 where there is none
+	 */
+	long keptCommit() {
+		return this.keeper.keptCommit();
+	}
+
 	/**
 	 * The other entry that was last seen to hold the term.
 	 * @return its row
@@ -102,10 +110,11 @@
 	/**
 	 * An entry says that it holds the term.
 	 * @param epoch the epoch
+	 * @param commit its last commit that is in the store, 0 where it does not say
 	 * @param entry its name
 	 * @param address where it accepts peers
 	 */
-	void holderHeard(long epoch, String entry, String address) {
+	void holderHeard(long epoch, long commit, String entry, String address) {
 		if (epoch < this.keeper.epoch()) {
 			return;
 		}
@@ -114,7 +123,7 @@
 			this.holder = Optional.of(heard);
 			this.listener.holderSeen(heard);
 		}
-		feed(new TermEvent.HolderHeard(epoch));
+		feed(new TermEvent.HolderHeard(epoch, commit));
 	}
 
 	/**
--- a/runtime/src/main/java/org/almondmount/wire/Message.java
+++ b/runtime/src/main/java/org/almondmount/wire/Message.java
@@ -59,8 +59,22 @@
 	 * @param revision the sender's configuration revision
 	 * @param epoch the highest epoch that the sender has seen
 	 * @param holder whether the sender holds the scheduler's lease under that epoch
+	 * @param commit the number of the holder's last commit that is in the store, 0 where
+	 * the sender does not say
 	 */
-	record EntryHeartbeat(long sequence, long revision, long epoch, boolean holder) implements Message {
+	record EntryHeartbeat(long sequence, long revision, long epoch, boolean holder, long commit) implements Message {
+
+		/**
+		 * A heartbeat that speaks of no commit.
+		 * @param sequence grows by one
+		 * @param revision the sender's configuration revision
+		 * @param epoch the highest epoch that the sender has seen
+		 * @param holder whether the sender holds the scheduler's lease under that epoch
+		 */
+		public EntryHeartbeat(long sequence, long revision, long epoch, boolean holder) {
+			this(sequence, revision, epoch, holder, 0);
+		}
+
 	}
 
 	/** Asks for the configuration, because the other side's revision is higher. */
--- a/runtime/src/main/java/org/almondmount/wire/impl/MessageKind.java
+++ b/runtime/src/main/java/org/almondmount/wire/impl/MessageKind.java
@@ -34,9 +34,10 @@
 	}, (in) -> new Message.HeartbeatReply(in.number(), in.number(), in.number(), in.list(ValueCodec::readAttempt),
 			in.list(ValueCodec::readAttempt), in.list(FrameReader::text))),
 
-	ENTRY_HEARTBEAT(3, 4, Message.EntryHeartbeat.class,
-			(out, m) -> out.number(m.sequence()).number(m.revision()).number(m.epoch()).flag(m.holder()),
-			(in) -> new Message.EntryHeartbeat(in.number(), in.number(), in.number(), in.flag())),
+	ENTRY_HEARTBEAT(3, 5, Message.EntryHeartbeat.class, (out,
+			m) -> out.number(m.sequence()).number(m.revision()).number(m.epoch()).flag(m.holder()).number(m.commit()),
+			(in) -> new Message.EntryHeartbeat(in.number(), in.number(), in.number(), in.flag(),
+					in.hasMore() ? in.number() : 0)),
 
 	CONFIGURATION_WANTED(4, 1, Message.ConfigurationWanted.class, (out, m) -> out.number(m.ownRevision()),
 			(in) -> new Message.ConfigurationWanted(in.number())),
--- a/runtime/src/test/java/org/almondmount/wire/impl/Samples.java
+++ b/runtime/src/test/java/org/almondmount/wire/impl/Samples.java
@@ -67,7 +67,7 @@
 	static final List<Message> ALL = List.of(
 			new Message.Heartbeat(1, 2, 3, 4, List.of(new HeldMember(ATTEMPT, 0, 8, true))),
 			new Message.HeartbeatReply(1, 2, 3_000, List.of(ATTEMPT), List.of(ATTEMPT), List.of("127.0.0.1:1")),
-			new Message.EntryHeartbeat(1, 2, 3, true), new Message.ConfigurationWanted(6),
+			new Message.EntryHeartbeat(1, 2, 3, true, 4), new Message.ConfigurationWanted(6),
 			new Message.ConfigurationPush(CONFIGURATION), new Message.SlotsLent(4), new Message.Leaving(),
 			new Message.Call(new RequestId("r-1"), 1, new CustomerId("parish"), 5_000, "/code", Map.of("a", "b"),
 					new byte[] { 1, 2 }),
