A holder keeps its term through a store that is a hundred times slower

Cause, by the log: a commit of the term takes 970 ms then (400 an answer, 500 for the transaction). After 150 ms a copy left, after 300 and 600 ms the next ones. The store carries out the transactions of a part one after the other and refuses more than a second of them: the holder's own copies filled the queue, its next commit was refused with 429, and it gave the term up at 33.80 s. The others took a row that they had read long before for free and sent thirteen commits in vain, each half a second of the same queue; the former holder took epochs 2, 3 and 4 and learnt of none in time.

Change: - An unanswered commit is settled by reading the row. It is sent again only where the read is answered quickly, so that the commit or its answer is lost; where the read is slow, the commit is waited for. Nor does the store's return, told by a slow answer, send it again. - A holder whose term is not renewed in time decides nothing, orders nothing and grants no lease, and goes on once its commit takes effect: its condition on the row proves that nobody took the term meanwhile. It still hears what targets tell, since that is told once (RandomTroubleTests found a job that never ended without this), and still speaks to the other entries, so that they leave the row alone. - Whom the store answers slowly waits 2.4 s for a commit before giving up, whom it does not answer 0.95 s as before. - A term is taken only after a look that is newer than the holder's last word, and entries take turns, one read after the other.

A test is replaced: aPausedHolderFindsOutByItsOwnClock required that a paused holder ends its term. What must hold is that it decides nothing, which two tests require now: until its term is renewed, and never where another entry took it.

--- a/core/src/main/java/org/almondmount/term/TermEvent.java
+++ b/core/src/main/java/org/almondmount/term/TermEvent.java
@@ -57,6 +57,10 @@
 	record HolderLost() implements TermEvent {
 	}
 
+	/** The store answers slowly, and has not carried a commit out yet. */
+	record Delayed(long commit) implements TermEvent {
+	}
+
 	/** The store, which was silent, answers again. */
 	record StoreAnswers() implements TermEvent {
 	}
--- a/core/src/main/java/org/almondmount/term/TermKeeper.java
+++ b/core/src/main/java/org/almondmount/term/TermKeeper.java
@@ -14,6 +14,9 @@
  * one took effect the second finds its number in the row, and otherwise only one of the
  * two can.
  * <p>
+ * A holder whose term was not renewed in time decides nothing, and goes on if its next
+ * commit still takes effect: then nobody has taken the term meanwhile.
+ * <p>
  * Why no two terms overlap: a holder counts its validity from before it sent a commit.
  * Others take the term only after they saw the row unchanged for the whole length by
  * their own clock, which began after that commit took effect.
@@ -29,6 +32,12 @@
 	 */
 	private static final long UNANSWERED_PAUSE_MILLIS = 50;
 
+	/**
+	 * Entries take a free term in turns, one read after the other. A slow store carries
+	 * their commits out one by one, and all but the first of them in vain.
+	 */
+	private static final int TURNS = 6;
+
 	/** Pause before a refused commit is sent again, in milliseconds. */
 	private static final long REFUSED_PAUSE_MILLIS = 120;
 
@@ -36,6 +45,9 @@
 
 	private final TermLength length;
 
+	/** When this entry takes a free term, in times of a read after the others. */
+	private final int turn;
+
 	/**
 	 * A holder whose commits are refused for so long gives the term up, in milliseconds:
 	 * the store may turn away this entry alone.
@@ -43,13 +55,17 @@
 	private static final long REFUSED_HAND_OVER_MILLIS = 600;
 
 	/**
-	 * A holder whose commits are not answered for so long gives the term up, in
-	 * milliseconds. An answer takes 4 ms, of a store that is a hundred times slower about
-	 * 800: a holder that gave up earlier would leave the term to one that fares no
-	 * better.
+	 * A holder whom the store does not answer for so long gives the term up, in
+	 * milliseconds.
 	 */
 	private static final long SILENT_HAND_OVER_MILLIS = 950;
 
+	/**
+	 * A holder whom the store answers slowly waits so long for a commit, in milliseconds:
+	 * the others would fare no better, and one that takes over has to commit too.
+	 */
+	private static final long SLOW_HAND_OVER_MILLIS = 2_400;
+
 	private List<TermCommand> commands = new ArrayList<>();
 
 	private Optional<TermRow> row = Optional.empty();
@@ -60,6 +76,15 @@
 
 	private boolean looked;
 
+	private long lookedAt;
+
+	/** A row that was read before its holder spoke last may have changed since. */
+	private boolean lookedSinceWord;
+
+	private long lookSentAt;
+
+	private long readMillis;
+
 	private long nextLook = Long.MIN_VALUE;
 
 	private long holderHeardAt = Long.MIN_VALUE;
@@ -92,6 +117,9 @@
 
 	private boolean unansweredBefore;
 
+	/** Whether the store answers, and has not carried the pending commit out yet. */
+	private boolean commitDelayed;
+
 	private long sentAt;
 
 	private long resendAt;
@@ -107,6 +135,7 @@
 	public TermKeeper(TermSettings settings) {
 		this.settings = settings;
 		this.length = new TermLength(settings.lengthMillis());
+		this.turn = Math.floorMod(settings.self().hashCode(), TURNS);
 	}
 
 	/**
@@ -142,9 +171,6 @@
 	 */
 	public List<TermCommand> handle(long now, TermEvent event) {
 		this.commands = new ArrayList<>();
-		if (this.epoch != 0 && now >= this.validUntil) {
-			end("it was not renewed in time");
-		}
 		take(now, event);
 		act(now);
 		return this.commands;
@@ -153,6 +179,7 @@
 	private void take(long now, TermEvent event) {
 		if (event instanceof TermEvent.RowRead read) {
 			this.inFlight = false;
+			this.readMillis = now - this.lookSentAt;
 			observe(now, read.row(), read.version());
 		}
 		else if (event instanceof TermEvent.ReadFailed) {
@@ -172,6 +199,10 @@
 			again(now, unanswered.commit(), this.unansweredBefore ? UNANSWERED_PAUSE_MILLIS : 0);
 			this.unansweredBefore = true;
 		}
+		else if (event instanceof TermEvent.Delayed delayed) {
+			this.commitDelayed |= this.pending.filter((commit) -> commit.row().commit() == delayed.commit())
+				.isPresent();
+		}
 		else if (event instanceof TermEvent.HolderHeard heard) {
 			holderHeard(now, heard);
 		}
@@ -179,6 +210,7 @@
 			holderQuit(now, quit.epoch());
 		}
 		else if (event instanceof TermEvent.HolderLost) {
+			this.lookedSinceWord = false;
 			this.holderHeardAt = Long.MIN_VALUE;
 			this.nextLook = now;
 		}
@@ -194,6 +226,7 @@
 	}
 
 	private void holderHeard(long now, TermEvent.HolderHeard said) {
+		this.lookedSinceWord = false;
 		if (said.epoch() >= this.row.map(TermRow::epoch).orElse(0L)) {
 			this.holderHeardAt = now;
 		}
@@ -235,6 +268,8 @@
 
 	private void observe(long now, Optional<TermRow> read, long readVersion) {
 		this.looked = true;
+		this.lookedAt = now;
+		this.lookedSinceWord = true;
 		if (readVersion != this.version) {
 			this.version = readVersion;
 			this.unchangedSince = unchangedSince(now, read);
@@ -265,10 +300,12 @@
 		this.length.committed(now - this.sentAt);
 		long lengthMillis = done.row().lengthMillis();
 		long until = this.sentAt + TermLength.validForMillis(lengthMillis);
-		if (now >= until) {
+		if (now < until) {
+			this.validUntil = until;
+		}
+		else if (this.epoch == 0) {
 			return;
 		}
-		this.validUntil = until;
 		this.nextRenewal = this.sentAt + TermLength.renewAfterMillis(lengthMillis);
 		if (this.epoch == 0) {
 			this.epoch = done.row().epoch();
@@ -367,9 +404,15 @@
 		this.nextLook = now + this.settings.lookEveryMillis();
 	}
 
+	private long handOverMillis() {
+		if (this.commitRefused) {
+			return REFUSED_HAND_OVER_MILLIS;
+		}
+		return (this.commitDelayed || this.length.slow()) ? SLOW_HAND_OVER_MILLIS : SILENT_HAND_OVER_MILLIS;
+	}
+
 	private void hold(long now) {
-		long patience = this.commitRefused ? REFUSED_HAND_OVER_MILLIS : SILENT_HAND_OVER_MILLIS;
-		if (this.pending.isPresent() && now - this.sentAt >= patience) {
+		if (this.pending.isPresent() && now - this.sentAt >= handOverMillis()) {
 			handOver(now);
 			return;
 		}
@@ -394,7 +437,7 @@
 
 	private void follow(long now) {
 		boolean quiet = this.holderHeardAt == Long.MIN_VALUE || now - this.holderHeardAt >= this.settings.quietMillis();
-		if (this.looked && quiet && mayTake(now)) {
+		if (this.looked && this.lookedSinceWord && quiet && mayTake(now)) {
 			long next = this.row.map(TermRow::epoch).orElse(0L) + 1;
 			TermRow taken = new TermRow(this.settings.self(), this.settings.address(), next, ++this.lastCommit,
 					this.length.millis(), false);
@@ -403,6 +446,7 @@
 		}
 		if (now >= this.nextLook && (quiet || !this.looked)) {
 			this.inFlight = true;
+			this.lookSentAt = now;
 			this.nextLook = now + this.settings.lookEveryMillis();
 			this.commands.add(new TermCommand.Look());
 		}
@@ -415,9 +459,12 @@
 		TermRow current = this.row.get();
 		// The same address means the same VM: the process that wrote the row is gone,
 		// since this one listens there now.
-		return current.released() || isOwn(current) || current.epoch() <= this.quitEpoch
-				|| current.address().equals(this.settings.address())
-				|| now - this.unchangedSince >= current.lengthMillis();
+		if (isOwn(current) || current.address().equals(this.settings.address())) {
+			return true;
+		}
+		boolean left = current.released() || current.epoch() <= this.quitEpoch;
+		long free = left ? this.lookedAt : this.unchangedSince + current.lengthMillis();
+		return now >= free + this.turn * this.readMillis;
 	}
 
 	private void send(long now, TermCommand.Commit commit, boolean first) {
@@ -427,6 +474,7 @@
 			this.sentAt = now;
 			this.commitRefused = false;
 			this.unansweredBefore = false;
+			this.commitDelayed = false;
 		}
 		this.commands.add(commit);
 	}
--- a/core/src/main/java/org/almondmount/term/TermLength.java
+++ b/core/src/main/java/org/almondmount/term/TermLength.java
@@ -48,6 +48,14 @@
 		return (long) Math.min(this.longestMillis, Math.max(shortest, this.slowestMillis * COMMITS_A_LENGTH));
 	}
 
+	/**
+	 * Whether commits took so long of late that the term is longer than the shortest.
+	 * @return whether they did
+	 */
+	boolean slow() {
+		return this.slowestMillis * COMMITS_A_LENGTH > this.longestMillis * QUICK_SHARE;
+	}
+
 	/**
 	 * How long after a commit the next one renews a term.
 	 * @param lengthMillis the length of the term
--- a/core/src/test/java/org/almondmount/term/TermKeeperTests.java
+++ b/core/src/test/java/org/almondmount/term/TermKeeperTests.java
@@ -142,12 +142,40 @@
 		assertThat(this.now - sent).isLessThan(LENGTH / 2);
 	}
 
+	// Guards against a holder that waits for a slow store no longer than for a silent
+	// one,
+	// and leaves the term to entries that have to commit to the same store.
 	@Test
-	void aPausedHolderFindsOutByItsOwnClock() {
+	void aHolderWhomTheStoreAnswersSlowlyKeepsTheTerm() {
+		hold();
+		TermCommand.Commit commit = commitIn(feed(new TermEvent.Save(11)));
+		this.now += 600;
+		feed(new TermEvent.Delayed(commit.row().commit()));
+		this.now += 1_300;
+		assertThat(ends(feed(new TermEvent.Tick()))).isFalse();
+		assertThat(feed(new TermEvent.Committed(commit.row().commit(), 30))).contains(new TermCommand.Saved(11));
+	}
+
+	// Guards against a holder that decides after a pause: it does not before its term is
+	// renewed, and never where another entry took the term.
+	@Test
+	void aPausedHolderDecidesNothingUntilItsTermIsRenewed() {
+		hold();
+		this.now += LENGTH;
+		TermCommand.Commit renewal = commitIn(feed(new TermEvent.Tick()));
+		assertThat(this.keeper.validUntilMillis()).isLessThan(this.now);
+		feed(new TermEvent.Committed(renewal.row().commit(), 30));
+		assertThat(this.keeper.validUntilMillis()).isGreaterThan(this.now);
+	}
+
+	@Test
+	void aPausedHolderWhoseTermWasTakenDecidesNoMore() {
 		hold();
 		this.now += LENGTH;
-		assertThat(this.now).isGreaterThan(this.keeper.validUntilMillis());
-		assertThat(feed(new TermEvent.Tick())).anyMatch(TermCommand.Ended.class::isInstance);
+		TermCommand.Commit renewal = commitIn(feed(new TermEvent.Tick()));
+		assertThat(feed(new TermEvent.Conflict(renewal.row().commit(), Optional.of(other(9)), 30)))
+			.anyMatch(TermCommand.Ended.class::isInstance);
+		assertThat(this.keeper.validUntilMillis()).isEqualTo(TermKeeper.NEVER);
 	}
 
 	@Test
--- a/fleet/src/main/java/org/almondmount/fleet/StorePatience.java
+++ b/fleet/src/main/java/org/almondmount/fleet/StorePatience.java
@@ -22,6 +22,9 @@
 	/** Answers come within six times the usual but for one in some thousand. */
 	private static final double TIMES_THE_USUAL = 6;
 
+	/** A slow store takes longer for an answer, in milliseconds. */
+	private static final long QUICK_MILLIS = 100;
+
 	private static final double WEIGHT_OF_THE_LAST = 0.3;
 
 	private static final int MOST_DOUBLINGS = 3;
@@ -35,6 +38,8 @@
 
 	private double usualMillis = FIRST_MILLIS;
 
+	private boolean quick;
+
 	private int silences;
 
 	private boolean answering = true;
@@ -67,6 +72,16 @@
 		this.usualMillis += WEIGHT_OF_THE_LAST * (millis - this.usualMillis);
 		this.silences = 0;
 		this.answering = true;
+		this.quick = millis <= QUICK_MILLIS;
+	}
+
+	/**
+	 * Whether the last answer came soon, so that the store is not slow, and a write that
+	 * it has not answered is lost.
+	 * @return whether it did
+	 */
+	public boolean answersQuickly() {
+		return this.quick;
 	}
 
 	/**
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -291,13 +291,15 @@
 
 	private void speak() {
 		this.turn++;
-		if (this.term.mayDecide() || this.turn % QUIET_TURNS == 0) {
+		if (this.term.epoch() != 0 || this.turn % QUIET_TURNS == 0) {
 			this.peers.broadcast(heartbeat());
 		}
 	}
 
+	// A holder that waits for its term to be renewed speaks too: entries that took it for
+	// lost would hold up the commit that renews it by commits of their own.
 	private Message.EntryHeartbeat heartbeat() {
-		boolean holds = this.term.mayDecide();
+		boolean holds = this.term.epoch() != 0;
 		return new Message.EntryHeartbeat(this.turn, this.declared.version(), holds ? this.term.epoch() : 0, holds,
 				holds ? this.term.keptCommit() : 0);
 	}
--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -220,8 +220,10 @@
 		feed(new WorkflowEvent.CancelRequested(job));
 	}
 
+	// What targets tell is told once. It is heard too while the term waits to be renewed;
+	// nothing is granted or ordered then.
 	void heard(String target, Message message) {
-		if (!this.term.mayDecide()) {
+		if (this.term.epoch() == 0) {
 			return;
 		}
 		if (message instanceof Message.TargetAlive alive) {
@@ -229,7 +231,10 @@
 			if (workerAnswers) {
 				feed(new WorkflowEvent.WorkerHeard(target));
 			}
-			this.targets.granted(target, alive.heartbeat(), this.term.epoch(), workerAnswers ? this.leaseMillis : 0);
+			if (this.term.mayDecide()) {
+				this.targets.granted(target, alive.heartbeat(), this.term.epoch(),
+						workerAnswers ? this.leaseMillis : 0);
+			}
 		}
 		else if (message instanceof Message.WorkerTold told && this.loaded) {
 			feed(new WorkflowEvent.WorkerReported(told.report()));
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TargetOrders.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TargetOrders.java
@@ -41,9 +41,11 @@
 				(epoch, heartbeat) -> new Message.RunStop(epoch, stop.life(), stop.task(), stop.run()));
 	}
 
-	// Not repeated: a worker lists an end until it hears that it is kept.
+	// Not repeated: a worker lists an end until it hears that it is kept. What is kept
+	// stays
+	// so, whether the term is renewed in time or not.
 	void acknowledge(WorkflowCommand.AcknowledgeEnds ends) {
-		if (!this.term.mayDecide()) {
+		if (this.term.epoch() == 0) {
 			return;
 		}
 		long epoch = this.term.epoch();
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
@@ -138,8 +138,11 @@
 		feed(new TermEvent.HolderLost());
 	}
 
+	/** The store answers again. A commit that it has not answered may only be slow. */
 	void storeAnswers() {
-		feed(new TermEvent.StoreAnswers());
+		if (this.patience.answersQuickly()) {
+			feed(new TermEvent.StoreAnswers());
+		}
 	}
 
 	void release() {
@@ -197,7 +200,7 @@
 			return;
 		}
 		storeAnswered(sentAt);
-		Optional<Row> row = found.rows().stream().filter((one) -> one.place().equals(Tables.TERM)).findFirst();
+		Optional<Row> row = termRow(found.rows());
 		feed(new TermEvent.RowRead(row.flatMap(TermDriver::parse), row.map(Row::version).orElse(0L)));
 	}
 
@@ -207,44 +210,76 @@
 		if (commit.save() != 0) {
 			writes.addAll(this.saves.apply(commit.save()));
 		}
-		CommitCall call = new CommitCall(commit.row().commit(), writes, this.loop.steadyMillis());
+		CommitCall call = new CommitCall(commit.row(), writes, this.loop.steadyMillis());
 		this.loop.then(this.store.commit(List.of(new Condition(Tables.TERM, commit.expectedVersion())), writes,
 				StorePatience.longest()), (ending) -> ended(call, ending));
 		this.loop.after(this.patience.timeout().toMillis(), () -> overdue(call));
 	}
 
-	// A lost answer is found out only by waiting, so the commit is sent again soon. But a
-	// store that has become slow answers the first call later than that: were the answer
-	// dropped, no commit would ever be known to have taken effect, and each holder in
-	// turn would give up its term. So the first answer to any copy of the commit counts.
+	// A lost answer is found out only by waiting, so the row is read soon. A store takes
+	// the
+	// commits of a part one after the other: a second copy that is sent to a slow one
+	// holds
+	// up the next commit by as much as the first took, and the holder loses its term by
+	// its
+	// own copies. So only a store that answers the read quickly is sent the commit again.
 	private void overdue(CommitCall call) {
 		if (call.answered) {
 			return;
 		}
+		explain(call, "unanswered", "no answer yet");
+		this.patience.silent();
+		storeSilent("no answer yet after " + (this.loop.steadyMillis() - call.sentAt) + " ms");
+		long askedAt = this.loop.steadyMillis();
+		this.loop.then(this.store.read(Tables.TERM.table(), Tables.TERM.key(), 1, StorePatience.longest()),
+				(read) -> settle(call, askedAt, read));
+	}
+
+	private void settle(CommitCall call, long askedAt, RowStore.Read read) {
+		if (call.answered) {
+			return;
+		}
+		if (!(read instanceof RowStore.Read.Found found)) {
+			sendAgain(call);
+			return;
+		}
+		storeAnswered(askedAt);
+		Optional<Row> row = termRow(found.rows());
+		if (row.flatMap(TermDriver::parse).filter(call::wrote).isPresent()) {
+			call.answered = true;
+			feed(new TermEvent.Committed(call.row.commit(), row.get().version()));
+		}
+		else if (this.patience.answersQuickly()) {
+			sendAgain(call);
+		}
+		else {
+			feed(new TermEvent.Delayed(call.row.commit()));
+			this.loop.after(this.patience.timeout().toMillis(), () -> overdue(call));
+		}
+	}
+
+	private void sendAgain(CommitCall call) {
 		call.overdue = true;
-		unanswered(call, "no answer yet");
+		feed(new TermEvent.Unanswered(call.row.commit()));
 	}
 
 	private void unanswered(CommitCall call, String why) {
 		explain(call, "unanswered", why);
 		this.patience.silent();
 		storeSilent(why + " after " + (this.loop.steadyMillis() - call.sentAt) + " ms");
-		feed(new TermEvent.Unanswered(call.number));
+		feed(new TermEvent.Unanswered(call.row.commit()));
 	}
 
 	private void ended(CommitCall call, RowStore.Commit ending) {
 		call.answered = true;
-		long number = call.number;
+		long number = call.row.commit();
 		if (ending instanceof RowStore.Commit.Committed committed) {
 			storeAnswered(call.sentAt);
 			feed(new TermEvent.Committed(number, committed.version()));
 		}
 		else if (ending instanceof RowStore.Commit.Conflict conflict) {
 			storeAnswered(call.sentAt);
-			Optional<Row> row = conflict.current()
-				.stream()
-				.filter((one) -> one.place().equals(Tables.TERM))
-				.findFirst();
+			Optional<Row> row = termRow(conflict.current());
 			feed(new TermEvent.Conflict(number, row.flatMap(TermDriver::parse), row.map(Row::version).orElse(0L)));
 		}
 		else if (call.overdue) {
@@ -264,7 +299,7 @@
 	// that tells a slow store from one that turns this entry away, and from a holder that
 	// is slow itself.
 	private void explain(CommitCall call, String ending, String why) {
-		LOG.warn("term-commit-" + ending, "epoch", this.keeper.epoch(), "commit", call.number, "rows", call.rows,
+		LOG.warn("term-commit-" + ending, "epoch", this.keeper.epoch(), "commit", call.row.commit(), "rows", call.rows,
 				"bytes", call.bytes, "millis", this.loop.steadyMillis() - call.sentAt, "why", why);
 	}
 
@@ -284,6 +319,10 @@
 		}
 	}
 
+	private static Optional<Row> termRow(List<Row> rows) {
+		return rows.stream().filter((row) -> row.place().equals(Tables.TERM)).findFirst();
+	}
+
 	private static Optional<TermRow> parse(Row row) {
 		try {
 			return row.value().map(RecordCodec::readTerm);
@@ -299,7 +338,7 @@
 	 */
 	private static final class CommitCall {
 
-		private final long number;
+		private final TermRow row;
 
 		private final int rows;
 
@@ -312,13 +351,17 @@
 		/** Whether it was sent again meanwhile. */
 		private boolean overdue;
 
-		CommitCall(long number, List<Write> writes, long sentAt) {
-			this.number = number;
+		CommitCall(TermRow row, List<Write> writes, long sentAt) {
+			this.row = row;
 			this.rows = writes.size();
 			this.bytes = writes.stream().mapToInt((write) -> write.value().map(String::length).orElse(0)).sum();
 			this.sentAt = sentAt;
 		}
 
+		boolean wrote(TermRow found) {
+			return found.holder().equals(this.row.holder()) && found.commit() == this.row.commit();
+		}
+
 	}
 
 	/**
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SimStore.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimStore.java
@@ -6,10 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
+import org.almondmount.fleet.Tables;
 import org.almondmount.rows.RowStore;
 
 /**
@@ -20,6 +22,11 @@
 
 	private static final long ANSWER_MILLIS = 4;
 
+	private static final long TRANSACTION_MILLIS = 5;
+
+	/** A part in which transactions wait for longer takes no more. */
+	private static final long LONGEST_QUEUE_MILLIS = 1_000;
+
 	private static final long TIMEOUT_MILLIS = 1_000;
 
 	private static final long LATEST_MILLIS = 6_000;
@@ -41,6 +48,13 @@
 
 	private long answerMillis = ANSWER_MILLIS;
 
+	/**
+	 * How long a transaction occupies its part; 0 for parts that take any number at once.
+	 */
+	private long transactionMillis;
+
+	private final Map<String, Long> busyUntil = new HashMap<>();
+
 	SimStore(VirtualTime time, Random random) {
 		this.time = time;
 		this.random = random;
@@ -58,6 +72,15 @@
 		this.answerMillis = ANSWER_MILLIS * times;
 	}
 
+	/**
+	 * Makes answers slow, and transactions of a part wait for each other.
+	 * @param times how many times as long as usual they take
+	 */
+	void slowByPart(int times) {
+		slow(times);
+		this.transactionMillis = (times > 1) ? TRANSACTION_MILLIS * times : 0;
+	}
+
 	void away(boolean gone) {
 		this.away = gone;
 	}
@@ -159,14 +182,35 @@
 				return answer;
 			}
 			long half = SimStore.this.answerMillis / 2;
+			OptionalLong turn = turn(SimStore.this.time.now() + half, writes);
+			if (turn.isEmpty()) {
+				SimStore.this.time.after(half * 2, () -> answer.complete(new Commit.Refused("queue full")));
+				return answer;
+			}
 			SimStore.this.time.after(timeout.toMillis(), () -> answer.complete(new Commit.Unanswered("slow")));
-			SimStore.this.time.after(half, () -> {
+			SimStore.this.time.after(turn.getAsLong() - SimStore.this.time.now(), () -> {
 				Commit ending = apply(conditions, writes);
 				SimStore.this.time.after(half, () -> answer.complete(ending));
 			});
 			return answer;
 		}
 
+		// When a transaction is carried out, or empty where its part has too many.
+		private OptionalLong turn(long arrives, List<Write> writes) {
+			String table = writes.get(0).place().table();
+			String part = (table.equals(Tables.INTAKE) || table.equals(Tables.ENTRIES)) ? table : "";
+			long begins = Math.max(arrives, SimStore.this.busyUntil.getOrDefault(part, 0L));
+			if (SimStore.this.transactionMillis == 0) {
+				return OptionalLong.of(arrives);
+			}
+			if (begins - arrives > LONGEST_QUEUE_MILLIS) {
+				return OptionalLong.empty();
+			}
+			long ends = begins + SimStore.this.transactionMillis;
+			SimStore.this.busyUntil.put(part, ends);
+			return OptionalLong.of(ends);
+		}
+
 		@Override
 		public CompletableFuture<Read> read(String table, String from, int limit, Duration timeout) {
 			CompletableFuture<Read> answer = new CompletableFuture<>();
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SlowStoreTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SlowStoreTests.java
@@ -4,6 +4,8 @@
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.Workflow;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -11,6 +13,8 @@
 
 	private static final int TIMES = 200;
 
+	private static final int A_HUNDRED_TIMES = 100;
+
 	// The store takes 0.8 s for an answer from one moment to the next. Each call that is
 	// given up before its answer comes was in vain, and a holder that learns of none of
 	// its
@@ -48,4 +52,26 @@
 		assertThat(world.store().commitsTo(Tables.INTAKE) - before).isEqualTo(1);
 	}
 
+	// Guards against a holder that sends copies of its commits to a slow store, which
+	// takes
+	// them one after the other, and loses its term by them: nothing ended or began until
+	// the store was fast again.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6 })
+	void theHolderKeepsItsTermThroughAStoreThatTakesCommitsSlowlyOneByOne(long seed) {
+		FleetWorld world = new FleetWorld(seed, 8, 5);
+		world.runFor(4_000 + 61 * seed);
+		long epoch = world.epoch();
+		world.store().slowByPart(A_HUNDRED_TIMES);
+		world.submit(world.smallJob("00000000000000aa"), 1_000, false);
+		world.runFor(6_000);
+		world.store().slowByPart(1);
+		world.runFor(200);
+		assertThat(world.epoch()).isEqualTo(epoch);
+		world.ask("00000000000000aa");
+		world.runFor(2_000);
+		assertThat(world.checker().broken()).isEmpty();
+		assertThat(world.seen()).containsEntry("00000000000000aa", JobPhase.COMPLETED);
+	}
+
 }
