What entries tell each other of the store has a class of its own

FleetEntry had grown by it. StoreNews takes in what was PeerStores: it tells of silence and return, remembers what the others said, and forgets it when they connect anew: an entry that was started anew at the same address would have been passed over until it said that the store answers. Tests of silent and slow stores, terms and lost holders pass.

--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -47,19 +46,6 @@
 
 	private static final EventLog LOG = EventLog.of(FleetEntry.class);
 
-	/** Tells another entry that the store, which was silent, answers again. */
-	private static final String STORE_ANSWERS = "store-answers";
-
-	/** Tells another entry that the store has left a call unanswered. */
-	private static final String STORE_SILENT = "store-silent";
-
-	/**
-	 * How much later the others are told of a silence, in milliseconds. A store that is
-	 * only slow has answered by then, and entries that ask before they write would be
-	 * twice as slow.
-	 */
-	private static final long SURELY_SILENT_MILLIS = 800;
-
 	private static final long HOLDER_WORD_MILLIS = 300;
 
 	/** Entries that do not hold the term speak at every third turn. */
@@ -79,7 +65,7 @@
 
 	private final PeerLinks peers;
 
-	private final PeerStores peerStores;
+	private final StoreNews storeNews;
 
 	private final TargetLinks targets;
 
@@ -129,7 +115,6 @@
 		this.self = new PeerInfo(PeerInfo.Role.ENTRY, run, settings.peerAddress(), settings.zone(), Optional.empty(), 0,
 				loop.wallMillis());
 		this.peers = new PeerLinks(settings.peerAddress(), this.loop, this::dial);
-		this.peerStores = new PeerStores(this.peers);
 		this.targets = new TargetLinks(this.peers::connectedAddresses);
 		this.term = new TermDriver(new TermSettings(run, settings.peerAddress(), settings.termLength().toMillis()),
 				store, this.loop, this.patience, telemetry, this::writesOf, new TermListener());
@@ -140,9 +125,10 @@
 					.withCheckpointing(settings.checkpointing())
 					.withFeatures(settings.features())),
 				store, this.loop, telemetry, this.term, this.targets, settings.lease().toMillis());
+		this.storeNews = new StoreNews(this.peers, this.patience, this.loop, this::askStore);
 		EntryCalls calls = new EntryCalls(this.term, this.peers, this.loop);
-		this.intake = new JobIntake(store, this.loop, this.patience, telemetry, this.holder, this.peers,
-				this.peerStores, calls, this::priorityOf);
+		this.intake = new JobIntake(store, this.loop, this.patience, telemetry, this.holder, this.peers, this.storeNews,
+				calls, this::priorityOf);
 		this.desk = new FrontDesk(store, this.loop, this.patience, this.holder, calls, this.intake);
 		this.probe = new StoreProbe(store, this.loop, this.patience, this.intake::anyWaiting);
 		this.declared = new DeclaredState(store, reader, this.loop, this::inForce, this.probe::ask);
@@ -150,8 +136,7 @@
 		this.register = new EntryRegister(settings, store, this.loop, this.patience, this.peers);
 		this.probe.whenAnswering(this.term::storeAnswers);
 		this.probe.whenAnswering(this.intake::storeAnswers);
-		this.probe.whenAnswering(() -> tellEntries(STORE_ANSWERS));
-		this.patience.whenSilent(this::storeSilentHere);
+		this.probe.whenAnswering(this.storeNews::answersHere);
 		telemetry.gauge("term.epoch", this.term::epoch);
 	}
 
@@ -365,6 +350,7 @@
 			return;
 		}
 		this.peers.opened(connection);
+		this.storeNews.connected(connection.peer().address());
 		connection.send(heartbeat());
 	}
 
@@ -411,37 +397,12 @@
 		}
 	}
 
-	private void tellEntries(String news) {
-		this.peers.broadcast(new Message.Forward(0, "", news, "", new byte[0], Map.of()));
-	}
-
-	private void storeSilentHere() {
-		this.peerStores.silentHere();
-		this.loop.after(SURELY_SILENT_MILLIS, () -> {
-			if (this.patience.expectsSilence()) {
-				tellEntries(STORE_SILENT);
-			}
-		});
-	}
-
-	// A job that is sent into the silence can no longer be refused. Entries that learnt
-	// of
-	// it only by their own writes would each lose a caller, so one that hears of it asks
-	// the store first, with a read.
-	private void storeSilentAt(String address) {
-		this.peerStores.silentAt(address);
-		this.patience.doubt();
+	private void askStore() {
 		this.probe.ask();
 	}
 
 	private void forwarded(PeerConnection connection, Message.Forward call) {
-		if (call.method().equals(STORE_ANSWERS)) {
-			this.peerStores.answersAt(connection.peer().address());
-			this.probe.ask();
-			return;
-		}
-		if (call.method().equals(STORE_SILENT)) {
-			storeSilentAt(connection.peer().address());
+		if (this.storeNews.taken(connection.peer().address(), call)) {
 			return;
 		}
 		if (this.news.taken(call)) {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
@@ -73,7 +73,7 @@
 
 	private final PeerLinks peers;
 
-	private final PeerStores peerStores;
+	private final StoreNews storeNews;
 
 	private final EntryCalls calls;
 
@@ -98,19 +98,19 @@
 	 * @param telemetry the process's metrics
 	 * @param holder the scheduler of this entry
 	 * @param peers the other entries
-	 * @param peerStores which of them reach the store
+	 * @param storeNews which of them reach the store
 	 * @param calls the way to the holder
 	 * @param priorityOf the priority of a queue, 0 for the most urgent
 	 */
 	JobIntake(RowStore store, Loop loop, StorePatience patience, Telemetry telemetry, HolderDesk holder,
-			PeerLinks peers, PeerStores peerStores, EntryCalls calls, ToIntFunction<String> priorityOf) {
+			PeerLinks peers, StoreNews storeNews, EntryCalls calls, ToIntFunction<String> priorityOf) {
 		this.store = store;
 		this.loop = loop;
 		this.patience = patience;
 		this.telemetry = telemetry;
 		this.holder = holder;
 		this.peers = peers;
-		this.peerStores = peerStores;
+		this.storeNews = storeNews;
 		this.calls = calls;
 		this.priorityOf = priorityOf;
 		telemetry.declare(REFUSED, IntakeRefusal.class);
@@ -222,7 +222,7 @@
 		if (attempt.accepted()) {
 			return;
 		}
-		Optional<String> peer = this.peerStores.mayAnswer(attempt::mayAskPeer);
+		Optional<String> peer = this.storeNews.mayReachStore(attempt::mayAskPeer);
 		if (peer.isPresent() && attempt.leftMillis(this.loop.steadyMillis()) > 0) {
 			askPeer(attempt, peer.get());
 			return;
@@ -259,7 +259,7 @@
 	// answer would have come.
 	private boolean hasToAskPeer(long now, IntakeAttempt attempt) {
 		return this.patience.expectsSilence() && now - attempt.lastCopyAt() >= SLOW_ANSWER_MILLIS
-				&& this.peerStores.mayAnswer(attempt::mayAskPeer).isPresent();
+				&& this.storeNews.mayReachStore(attempt::mayAskPeer).isPresent();
 	}
 
 	// One job finds out whether a store that refused takes jobs again; the others follow
@@ -290,6 +290,8 @@
 	// on the condition that it is not there, so it does not matter whose write is first.
 	private void askPeer(IntakeAttempt attempt, String peer) {
 		attempt.peerAsked(peer);
+		LOG.info("job-passed-on", "job", attempt.job().id(), "to", peer, "sentToStore", attempt.anyCopyOut(), "why",
+				attempt.why());
 		long left = attempt.leftMillis(this.loop.steadyMillis());
 		byte[] body = attempt.text().getBytes(StandardCharsets.UTF_8);
 		this.loop.then(this.peers.call(peer, EntryCalls.SUBMIT, attempt.job().id(), body,
