The end of a run on a worker that was idle is heard of at once

Cause: an idle worker is looked at once a second. The look that follows a start is answered at once, and the next one, which waits at the worker for an end, was due only at the end of that pause.

Change: as soon as a look lists the first run of an idle worker, the one that waits for its end is sent.

Evidence: WorkerKeeperTests#aWorkerThatHasBegunARunIsWaitedOnForItsEndAtOnce fails before, passes after.

--- a/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerKeeper.java
@@ -417,6 +417,9 @@
 		if (!sameRuns(now, this.running)) {
 			this.reportDue = true;
 		}
+		if (this.running.isEmpty() && !now.isEmpty()) {
+			this.nextLook = Long.MIN_VALUE;
+		}
 		this.running = List.copyOf(now);
 	}
 
@@ -523,7 +526,8 @@
 
 	// One look waits at a busy worker for an end; another one goes beside it when
 	// something has to be known or acknowledged at once. A worker that runs nothing
-	// answers at once, so it is looked at now and then.
+	// answers at once, so it is looked at now and then, and again as soon as it begins a
+	// run: it may end or be stopped within the pause.
 	private void look(long now) {
 		boolean regular = this.outstandingLook == 0 && now >= this.nextLook;
 		if (!regular && !this.lookSoon) {
--- a/core/src/test/java/org/almondmount/worker/WorkerKeeperTests.java
+++ b/core/src/test/java/org/almondmount/worker/WorkerKeeperTests.java
@@ -84,6 +84,20 @@
 		assertThat(this.commands).noneMatch(WorkerCommand.Start.class::isInstance);
 	}
 
+	// Guards against an end that is heard of up to a second late, because the worker was
+	// idle before the run began and is looked at only now and then.
+	@Test
+	void aWorkerThatHasBegunARunIsWaitedOnForItsEndAtOnce() {
+		ready();
+		feed(new WorkerEvent.StartOrdered(1, 1, LIFE, TASK, 1, "program", "", CAPACITY));
+		this.commands.clear();
+		feed(new WorkerEvent.StartEnded(TASK, 1, CallEnding.DONE, ""));
+		long look = looks().get(0).look();
+		List<WorkerReport.Running> running = List.of(new WorkerReport.Running(TASK, 1, "", 0));
+		feed(new WorkerEvent.Looked(look, LIFE, 900, running, List.of()));
+		assertThat(looks()).last().matches((last) -> last.waitMillis() > 0);
+	}
+
 	// Guards against orders that vanish without a trace.
 	@Test
 	void anOrderOfAnEarlierHolderOrForAnotherLifeIsIgnoredAndSaysWhy() {
@@ -220,6 +234,13 @@
 			.toList();
 	}
 
+	private List<WorkerCommand.Look> looks() {
+		return this.commands.stream()
+			.filter(WorkerCommand.Look.class::isInstance)
+			.map(WorkerCommand.Look.class::cast)
+			.toList();
+	}
+
 	private void answerLooks() {
 		for (WorkerCommand command : List.copyOf(this.commands)) {
 			if (command instanceof WorkerCommand.Look look) {
