--- a/core/src/main/java/org/almondmount/term/TermKeeper.java
+++ b/core/src/main/java/org/almondmount/term/TermKeeper.java
@@ -237,8 +237,7 @@
 	}
 
 	// A commit that its holder spoke of was in the store by then, so that the row need
-	// not
-	// have been read to know since when it is unchanged.
+	// not have been read to know since when it is unchanged.
 	private long unchangedSince(long now, Optional<TermRow> read) {
 		boolean spokenOf = read
 			.filter((row) -> row.commit() != 0 && row.epoch() == this.lastWord.epoch()
--- a/core/src/test/java/org/almondmount/term/TermKeeperTests.java
+++ b/core/src/test/java/org/almondmount/term/TermKeeperTests.java
@@ -36,8 +36,7 @@
 	}
 
 	// Guards against a dead holder's row that is watched from the first look on, though
-	// the
-	// holder spoke of the commit that wrote it long before.
+	// the holder spoke of the commit that wrote it long before.
 	@Test
 	void aRowIsUnchangedSinceItsHolderSpokeOfItsCommit() {
 		feed(new TermEvent.Tick());
@@ -143,8 +142,7 @@
 	}
 
 	// Guards against a holder that waits for a slow store no longer than for a silent
-	// one,
-	// and leaves the term to entries that have to commit to the same store.
+	// one, and leaves the term to entries that have to commit to the same store.
 	@Test
 	void aHolderWhomTheStoreAnswersSlowlyKeepsTheTerm() {
 		hold();
--- a/core/src/test/java/org/almondmount/worker/WorkerKeeperTests.java
+++ b/core/src/test/java/org/almondmount/worker/WorkerKeeperTests.java
@@ -45,8 +45,7 @@
 
 	// The process was restarted and finds the holder before its worker has answered. The
 	// holder grants nothing for a worker that was not heard, and refused every order
-	// until
-	// the next heartbeat was due.
+	// until the next heartbeat was due.
 	@Test
 	void aRestartedTargetAsksForALeaseAsSoonAsItsWorkerAnswers() {
 		feed(new WorkerEvent.HolderFound(1));
--- a/core/src/test/java/org/almondmount/workflow/impl/CrashHistoryTests.java
+++ b/core/src/test/java/org/almondmount/workflow/impl/CrashHistoryTests.java
@@ -13,8 +13,7 @@
 	private final CrashHistory crashes = new CrashHistory();
 
 	// Guards against a crash that counts again with each report of it, after the task
-	// that
-	// lasts has shown that it is not to blame.
+	// that lasts has shown that it is not to blame.
 	@Test
 	void aReportOfAForgottenCrashCountsNothing() {
 		assertThat(this.crashes.add(0, seen(1))).isTrue();
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TargetOrders.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TargetOrders.java
@@ -42,8 +42,7 @@
 	}
 
 	// Not repeated: a worker lists an end until it hears that it is kept. What is kept
-	// stays
-	// so, whether the term is renewed in time or not.
+	// stays so, whether the term is renewed in time or not.
 	void acknowledge(WorkflowCommand.AcknowledgeEnds ends) {
 		if (this.term.epoch() == 0) {
 			return;
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
@@ -217,12 +217,10 @@
 	}
 
 	// A lost answer is found out only by waiting, so the row is read soon. A store takes
-	// the
-	// commits of a part one after the other: a second copy that is sent to a slow one
-	// holds
-	// up the next commit by as much as the first took, and the holder loses its term by
-	// its
-	// own copies. So only a store that answers the read quickly is sent the commit again.
+	// the commits of a part one after the other: a second copy that is sent to a slow one
+	// holds up the next commit by as much as the first took, and the holder loses its
+	// term by its own copies. So only a store that answers the read quickly is sent the
+	// commit again.
 	private void overdue(CommitCall call) {
 		if (call.answered) {
 			return;
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SilentStoreTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SilentStoreTests.java
@@ -16,9 +16,8 @@
 
 	// The store answers nobody for a long time. A job that is sent to it can no longer be
 	// refused, and many callers may not hand it in again after that. So only the first
-	// one,
-	// which finds out, ends so; later ones hear at once that they have not run, however
-	// long it lasts.
+	// one, which finds out, ends so; later ones hear at once that they have not run,
+	// however long it lasts.
 	@Test
 	void noJobIsSentToFindOutWhetherTheStoreAnswersAgain() {
 		this.world.runFor(4_000);
@@ -60,8 +59,7 @@
 	}
 
 	// The store does not answer the entry that got the job, and answers the others.
-	// Nobody
-	// can say here what became of the job; another entry keeps it.
+	// Nobody can say here what became of the job; another entry keeps it.
 	@Test
 	void aJobThatTheStoreDoesNotAnswerHereIsKeptThroughAnotherEntry() {
 		this.world.runFor(4_000);
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SlowStoreTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SlowStoreTests.java
@@ -17,9 +17,8 @@
 
 	// The store takes 0.8 s for an answer from one moment to the next. Each call that is
 	// given up before its answer comes was in vain, and a holder that learns of none of
-	// its
-	// commits hands the term to the next one, who learns of none either. Callers see jobs
-	// that are accepted and do not begin until the store is fast again.
+	// its commits hands the term to the next one, who learns of none either. Callers see
+	// jobs that are accepted and do not begin until the store is fast again.
 	@Test
 	void aJobRunsToItsEndWhileTheStoreIsSlow() {
 		FleetWorld world = new FleetWorld(5, 3, 5);
@@ -36,9 +35,8 @@
 	}
 
 	// Callers give some seconds. A write that is given up and sent again before its
-	// answer
-	// comes makes a slow store slower, and the caller never hears of the one that took
-	// effect. So the first answer to any copy counts, and few copies are sent.
+	// answer comes makes a slow store slower, and the caller never hears of the one that
+	// took effect. So the first answer to any copy counts, and few copies are sent.
 	@Test
 	void aJobIsAcceptedAsSoonAsTheSlowStoreAnswersItsFirstWrite() {
 		FleetWorld world = new FleetWorld(5, 3, 5);
@@ -53,9 +51,8 @@
 	}
 
 	// Guards against a holder that sends copies of its commits to a slow store, which
-	// takes
-	// them one after the other, and loses its term by them: nothing ended or began until
-	// the store was fast again.
+	// takes them one after the other, and loses its term by them: nothing ended or began
+	// until the store was fast again.
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6 })
 	void theHolderKeepsItsTermThroughAStoreThatTakesCommitsSlowlyOneByOne(long seed) {
