--- a/fleet/src/main/java/org/almondmount/fleet/entry/IntakeAttempt.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/IntakeAttempt.java
@@ -16,6 +16,11 @@
 
 	private static final int NO_COPY = 0;
 
+	/**
+	 * Entries that are asked to accept one job, so that an outage is no flood of calls.
+	 */
+	private static final int MOST_PEERS = 3;
+
 	private final Workflow job;
 
 	private final String text;
@@ -94,13 +99,13 @@
 	}
 
 	/**
-	 * Whether an entry may be asked to accept it. Each is asked once; what comes from
+	 * Whether an entry may be asked to accept it. A few are, each once; what comes from
 	 * another entry is not passed on.
 	 * @param address the entry's address
 	 * @return whether it may
 	 */
 	boolean mayAskPeer(String address) {
-		return !this.forPeer && !this.peersAsked.contains(address);
+		return !this.forPeer && this.peersAsked.size() < MOST_PEERS && !this.peersAsked.contains(address);
 	}
 
 	void peerAsked(String address) {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
@@ -223,7 +223,8 @@
 			return;
 		}
 		Optional<String> peer = this.storeNews.mayReachStore(attempt::mayAskPeer);
-		if (peer.isPresent() && attempt.leftMillis(this.loop.steadyMillis()) > 0) {
+		long left = attempt.leftMillis(this.loop.steadyMillis());
+		if (peer.isPresent() && left > this.policy.wayBackMillis()) {
 			askPeer(attempt, peer.get());
 			return;
 		}
