Attempts are judged when a term begins and whenever a run is over

Cause: failures were compared with the queue's limit when one was counted and when the configuration changed. The holder of term 2 heard of the last failure before it had read the declared state, counted and kept it unjudged, and was killed. Term 3 knew the declared state before it loaded the jobs: no later event compared the two.

Evidence: the play's log: no in-force line between the restart and the end of term 2, where the failures are counted; in-force before term-began epoch=3; after the third run job-failed attempts=3, so the count was kept and read.

Change: all jobs are judged when a term begins, a task whenever one of its runs is over. The second also covers a run that is lost after a configuration has lowered the attempts.

--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -100,6 +100,7 @@
 			this.endedJobs.clear();
 			this.state.beginTerm(began.epoch());
 			began.jobs().forEach(this::restore);
+			this.ledger.failUsedUp();
 			return true;
 		}
 		if (event instanceof WorkflowEvent.TermEnded) {
--- a/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLedger.java
@@ -97,6 +97,7 @@
 		if (!how.done() && how != RunEnding.LOST) {
 			countStart(run);
 		}
+		failIfUsedUp(step.failuresCountOn(task));
 		if (step.spec().gang() && !step.done()) {
 			stopAll(step, work.cause());
 		}
@@ -229,21 +230,23 @@
 	}
 
 	/**
-	 * Fails the jobs whose attempts are used up by what their queues say now. A run that
-	 * is open was begun in time and may still succeed.
+	 * Fails the jobs whose attempts are used up by what their queues say now.
 	 */
 	void failUsedUp() {
 		for (JobState job : this.state.jobs().values()) {
 			for (StepState step : job.steps()) {
-				for (TaskState task : step.tasks()) {
-					if (task.failures() > 0 && task.idle() && !task.done()) {
-						failIfUsedUp(job, task, task.failures());
-					}
-				}
+				step.tasks().forEach(this::failIfUsedUp);
 			}
 		}
 	}
 
+	// A run that is open was begun in time and may still succeed.
+	private void failIfUsedUp(TaskState task) {
+		if (task.failures() > 0 && task.idle() && !task.done()) {
+			failIfUsedUp(task.step().job(), task, task.failures());
+		}
+	}
+
 	private void learn(Run run) {
 		StepState step = run.task().step();
 		if (!run.seenWhole() || step.spec().lasting() || !this.state.has(SchedulerFeature.LEARN_RUN_TIMES)) {
--- a/core/src/main/java/org/almondmount/workflow/impl/StepState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/StepState.java
@@ -97,7 +97,7 @@
 			task.failed();
 			return task.failures();
 		}
-		TaskState first = this.tasks.get(0);
+		TaskState first = failuresCountOn(task);
 		if (this.failedRun != run) {
 			this.failedRun = run;
 			first.failed();
@@ -105,6 +105,15 @@
 		return first.failures();
 	}
 
+	/**
+	 * Where the failures of a task are counted.
+	 * @param task the task
+	 * @return the task itself, or the first one of its gang
+	 */
+	TaskState failuresCountOn(TaskState task) {
+		return this.spec.gang() ? this.tasks.get(0) : task;
+	}
+
 	int failedRun() {
 		return this.failedRun;
 	}
--- a/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
+++ b/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
@@ -55,6 +55,41 @@
 		assertThat(phase("a")).contains(JobPhase.FAILED);
 	}
 
+	// Guards against a task that is begun once more than its queue allows, because its
+	// last failure was kept by a holder that did not know the queue.
+	@Test
+	void aJobWhoseKeptFailuresUseUpItsAttemptsIsNotBegunByTheNextHolder() {
+		begin(1);
+		Workflow job = job("a", 2, step(1, 1));
+		TaskRecord failed = new TaskRecord(new StepKey(0, 0), 0, 2, 2, false, "", List.of());
+		JobRecord kept = new JobRecord("a", JobPhase.RUNNING, List.of(), List.of(failed));
+		this.commands.clear();
+		keepAll(feed(new WorkflowEvent.TermBegan(2, List.of(new KeptJob(job, Optional.of(kept), false)))));
+		keepAll(feed(new WorkflowEvent.WorkerReported(
+				new WorkerReport("t0", description(0, 1, false), 2, List.of(), List.of()))));
+		assertThat(starts(this.commands)).isEmpty();
+		assertThat(phase("a")).contains(JobPhase.FAILED);
+	}
+
+	// Guards against a task that is begun once more than a new configuration allows,
+	// after its last run was lost.
+	@Test
+	void aTaskWithoutAttemptsLeftIsNotBegunAgainAfterItsRunIsLost() {
+		begin(1);
+		Workflow job = job("a", 2, step(1, 1));
+		endAndKeep(startsOf(job).get(0), RunEnding.FAILED);
+		this.now += 200;
+		WorkflowCommand.StartRun second = keepAll(feed(new WorkflowEvent.Tick())).get(0);
+		keepAll(declareQueue("q2", 1));
+		this.commands.clear();
+		keepAll(feed(new WorkflowEvent.RunRefused("t0", second.task(), second.run(), "gone")));
+		this.now += 5_000;
+		report(0, false);
+		keepAll(feed(new WorkflowEvent.Tick()));
+		assertThat(starts(this.commands)).isEmpty();
+		assertThat(phase("a")).contains(JobPhase.FAILED);
+	}
+
 	// Guards against a run that is stopped because a new configuration allows fewer
 	// attempts than it took to begin it.
 	@Test
