A run keeps the life of the worker in which it may have begun

Cause: an open run is kept with the life of its worker before it is ordered, so that a life that is over speaks for itself where all processes that saw the crash are gone. That evidence was overwritten: a holder that loaded another run of the worker's later life first attached the former run to that life, and a run that was being settled at a later life was kept under it. It then ended as never begun, and no crash was counted.

Change: a run holds that life apart from the worker at which it is to be stopped, and its row names it.

Shown by: two tests of InheritedRunsTests that fail before.

--- a/core/src/main/java/org/almondmount/workflow/JobRecord.java
+++ b/core/src/main/java/org/almondmount/workflow/JobRecord.java
@@ -117,7 +117,7 @@
 	 *
 	 * @param number its number
 	 * @param target the process beside its worker
-	 * @param life the life of the worker that it was ordered in
+	 * @param life the life of the worker in which it may have begun
 	 * @param epoch the epoch under which it was ordered
 	 */
 	public record OpenRun(int number, String target, WorkerLife life, long epoch) {
--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -202,7 +202,7 @@
 			List.copyOf(worker.runs()).forEach((run) -> run.moveTo(later));
 			worker = later;
 		}
-		Run run = new Run(task, open.number(), worker, open.epoch(), Run.State.INHERITED);
+		Run run = Run.inherited(task, open, worker);
 		task.openRuns().add(run);
 		worker.add(run);
 		this.ledger.watch(run);
--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -30,6 +30,9 @@
 
 	private Worker worker;
 
+	/** The life of its worker in which it may have begun. */
+	private WorkerLife begunIn;
+
 	private final long epoch;
 
 	/** Whether it goes on from a checkpoint. */
@@ -73,6 +76,7 @@
 		this.task = task;
 		this.number = number;
 		this.worker = worker;
+		this.begunIn = worker.life();
 		this.epoch = epoch;
 		this.state = state;
 		this.resumed = !task.checkpoint().isEmpty();
@@ -80,6 +84,22 @@
 		this.chosenBy = worker.capacity();
 	}
 
+	/**
+	 * Takes over a run that an earlier term ordered.
+	 * @param task the task
+	 * @param kept what is kept of the run
+	 * @param worker the latest life of its worker that is known
+	 * @return the run
+	 */
+	static Run inherited(TaskState task, OpenRun kept, Worker worker) {
+		Run run = new Run(task, kept.number(), worker, kept.epoch(), State.INHERITED);
+		run.begunIn = kept.life();
+		if (!kept.life().equals(worker.life())) {
+			run.workerEnded();
+		}
+		return run;
+	}
+
 	TaskState task() {
 		return this.task;
 	}
@@ -99,11 +119,10 @@
 	/**
 	 * Its worker ended. A run that was ordered in this term and not heard of since was
 	 * hardly begun: its worker was gone already.
-	 * @param life the life that ended
 	 */
-	void lostWith(WorkerLife life) {
+	void workerEnded() {
 		if (this.state == State.RUNNING || this.state == State.INHERITED) {
-			this.lostWith = Optional.of(life);
+			this.lostWith = Optional.of(this.begunIn);
 		}
 	}
 
@@ -120,7 +139,10 @@
 	 * @param later that life
 	 */
 	void moveTo(Worker later) {
-		lostWith(this.worker.life());
+		workerEnded();
+		if (this.lostWith.isEmpty()) {
+			this.begunIn = later.life();
+		}
 		this.worker.remove(this);
 		this.worker = later;
 		this.state = State.INHERITED;
@@ -318,7 +340,7 @@
 	}
 
 	OpenRun toRecord() {
-		return new OpenRun(this.number, this.worker.target(), this.worker.life(), this.epoch);
+		return new OpenRun(this.number, this.worker.target(), this.begunIn, this.epoch);
 	}
 
 	/**
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReports.java
@@ -108,7 +108,7 @@
 
 	private void closeAll(Worker worker) {
 		for (Run run : List.copyOf(worker.runs())) {
-			run.lostWith(worker.life());
+			run.workerEnded();
 			this.ledger.lose(run, WorkOutcome.WORKER_LOST);
 		}
 	}
--- a/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
+++ b/core/src/test/java/org/almondmount/workflow/InheritedRunsTests.java
@@ -90,6 +90,51 @@
 		assertThat(phase("a")).contains(JobPhase.FAILED);
 	}
 
+	// Guards against a crash that no holder counts, because another job names the later
+	// life of the worker.
+	@Test
+	void aRunOfAFormerLifeIsLostWithItThoughALaterOneIsKnown() {
+		begin(1);
+		Workflow later = job("b", 2, step(1, 1));
+		Workflow former = job("a", 2, step(1, 1));
+		feed(new WorkflowEvent.TermBegan(2, List.of(new KeptJob(later, Optional.of(running("b", 2)), false),
+				new KeptJob(former, Optional.of(running("a", 1)), false))));
+		feed(new WorkflowEvent.WorkerReported(
+				new WorkerReport("t0", description(0, 2, false), 2, List.of(), List.of())));
+		JobRecord kept = keepIn(feed(new WorkflowEvent.RunRefused("t0", new TaskId("a", 0, 0, 0), RUN, "gone")))
+			.records()
+			.stream()
+			.filter((record) -> record.job().equals("a"))
+			.findFirst()
+			.orElseThrow();
+		assertThat(kept.tasks().get(0).crashes()).extracting(JobRecord.Crash::life)
+			.containsExactly(new WorkerLife("w0", 1));
+	}
+
+	// Guards against a crash that no holder counts, because the run was kept under the
+	// worker's later life while it was being settled there.
+	@Test
+	void aRunIsKeptUnderTheLifeInWhichItMayHaveBegun() {
+		begin(2);
+		Workflow job = job("a", 2, step(2, 1));
+		List<TaskRecord> tasks = new ArrayList<>();
+		for (int index = 0; index < 2; index++) {
+			OpenRun open = new OpenRun(RUN, "t" + index, description(index, 1, false).life(), 1);
+			tasks.add(new TaskRecord(new StepKey(0, 0), index, RUN, 0, false, "", List.of(open)));
+		}
+		JobRecord record = new JobRecord("a", JobPhase.RUNNING, List.of(), tasks);
+		feed(new WorkflowEvent.TermBegan(2, List.of(new KeptJob(job, Optional.of(record), false))));
+		feed(new WorkflowEvent.WorkerReported(
+				new WorkerReport("t0", description(0, 2, false), 2, List.of(), List.of())));
+		JobRecord kept = keepIn(feed(new WorkflowEvent.RunRefused("t1", new TaskId("a", 0, 0, 1), RUN, "gone")))
+			.records()
+			.get(0);
+		assertThat(kept.tasks()).filteredOn((task) -> task.index() == 0)
+			.flatExtracting(TaskRecord::openRuns)
+			.extracting(OpenRun::life)
+			.containsExactly(new WorkerLife("w0", 1));
+	}
+
 	// Guards against a run that is stopped because a new configuration allows fewer
 	// attempts than it took to begin it.
 	@Test
@@ -157,6 +202,15 @@
 		feed(new WorkflowEvent.TermBegan(2, List.of(new KeptJob(job, Optional.of(record), false))));
 	}
 
+	/**
+	 * What is kept of a job whose only task was begun in a life of the first worker.
+	 */
+	private static JobRecord running(String job, long born) {
+		OpenRun open = new OpenRun(RUN, "t0", description(0, born, false).life(), 1);
+		return new JobRecord(job, JobPhase.RUNNING, List.of(),
+				List.of(new TaskRecord(new StepKey(0, 0), 0, RUN, 0, false, "", List.of(open))));
+	}
+
 	private List<WorkflowCommand> declareQueue(String name, int maxAttempts) {
 		JobQueue queue = new JobQueue(name, "h", "/" + name, "pool", 1, maxAttempts, 3, 1_000, false, false);
 		return feed(new WorkflowEvent.ConfigurationChanged(
--- a/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
@@ -30,11 +30,12 @@
 
 	/**
 	 * Seeds that once broke a promise. 379, 658: a cancel was read before its job and did
-	 * not count. 300209: a paused holder removed the progress of jobs that the next one
-	 * had begun. 60258: a holder kept failures before it knew how many their queue
-	 * allows.
+	 * not count. 60021, 501726: a crash was forgotten with the life of the worker in
+	 * which it happened. 60258: a holder kept failures before it knew how many their
+	 * queue allows. 300209: a paused holder removed the progress of jobs that the next
+	 * one had begun.
 	 */
-	private static final long[] ONCE_BROKEN = { 379, 658, 60258, 300209 };
+	private static final long[] ONCE_BROKEN = { 379, 658, 60021, 60258, 300209, 501726 };
 
 	/** The length of a trouble that lasts until {@link #calm}. */
 	static final long UNTIL_CALM = -1;
