--- a/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
@@ -85,7 +85,7 @@
 	@ParameterizedTest
 	@MethodSource("seeds")
 	void noPromiseIsBrokenThroughTroublesAndEveryJobEnds(long seed) {
-		play(seed, (world) -> List.of(), QUIET_MILLIS);
+		play(new FleetWorld(seed, 3, 5), (world) -> List.of(), QUIET_MILLIS);
 	}
 
 	// Guards against tasks that crash their workers, and workers that shrink, crash and
@@ -94,7 +94,7 @@
 	@MethodSource("seeds")
 	void noPromiseIsBrokenAmongCrashingTasksAndShrinkingWorkers(long seed) {
 		Random random = new Random(~seed);
-		play(seed, (world) -> disturbWorkers(world, random), 2 * QUIET_MILLIS);
+		play(new FleetWorld(seed, 3, 5), (world) -> disturbWorkers(world, random), 2 * QUIET_MILLIS);
 	}
 
 	// Guards against crashes that nobody saw: all processes were killed after most of
@@ -105,6 +105,15 @@
 		noPromiseIsBrokenAmongCrashingTasksAndShrinkingWorkers(seed);
 	}
 
+	// Guards against a crash that is not counted: the target was paused as it ordered the
+	// run, and killed before it could tell that the run had begun.
+	@ParameterizedTest
+	@ValueSource(longs = 920678)
+	void noCrashIsForgottenWhereItsTargetIsPausedAndKilled(long seed) {
+		Random random = new Random(~seed);
+		play(new FleetWorld(seed, 2, 2), (world) -> disturbWorkers(world, random), 2 * QUIET_MILLIS);
+	}
+
 	private static List<Workflow> disturbWorkers(FleetWorld world, Random random) {
 		SimWorker worker = world.targets().get(random.nextInt(world.targets().size())).worker();
 		switch (random.nextInt(12)) {
@@ -121,8 +130,7 @@
 		return List.of();
 	}
 
-	private static void play(long seed, Function<FleetWorld, List<Workflow>> more, long quietMillis) {
-		FleetWorld world = new FleetWorld(seed, 3, 5);
+	private static void play(FleetWorld world, Function<FleetWorld, List<Workflow>> more, long quietMillis) {
 		world.runFor(2_000);
 		List<Workflow> jobs = new ArrayList<>();
 		long until = world.time().now() + TROUBLE_MILLIS;
