--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -30,7 +30,9 @@
 
 	private Worker worker;
 
-	/** The life of its worker in which it may have begun. */
+	/**
+	 * The life of its worker in which it may have begun; its worker may be a later one.
+	 */
 	private WorkerLife begunIn;
 
 	private final long epoch;
@@ -135,7 +137,8 @@
 	}
 
 	/**
-	 * Moves the run to a later life of its worker, where it may still begin.
+	 * Moves the run to a later life of its worker, where it may still begin. One that may
+	 * have begun before keeps the life that is over: a crash can be told by it.
 	 * @param later that life
 	 */
 	void moveTo(Worker later) {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -357,10 +357,9 @@
 		});
 	}
 
-	// Progress is read first. A job is accepted before it has any, so that the later read
-	// finds it. The other way round, progress that the next holder has kept meanwhile
-	// would
-	// look as if its job was forgotten.
+	// Progress is read first: a job is accepted before it has any, so that the later read
+	// finds the job of each row. Read the other way round, progress that the next holder
+	// keeps meanwhile looks as if its job was forgotten.
 	private void load(long epoch) {
 		readAll(Tables.PROGRESS, "", new ArrayList<>(), Long.MAX_VALUE, epoch,
 				(progress) -> readAll(Tables.INTAKE, "", new ArrayList<>(), Long.MAX_VALUE, epoch, (intake) -> {
