The line of a removal that met a conflict names no rows

A conflict carries the rows as they are, with their values: up to 45 rows of 64 KB in one log line. The line now says why nothing was removed.

--- a/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/HolderDesk.java
@@ -347,6 +347,10 @@
 	private void remove(List<Condition> conditions, List<Write> rows, Runnable then) {
 		long epoch = this.loadingEpoch;
 		this.loop.then(this.store.commit(conditions, rows, PAGE_TIMEOUT), (ending) -> {
+			if (ending instanceof RowStore.Commit.Conflict) {
+				LOG.warn("rows-not-removed", "rows", rows.size(), "why", "a row was kept anew meanwhile");
+				return;
+			}
 			if (!(ending instanceof RowStore.Commit.Committed)) {
 				LOG.warn("rows-not-removed", "rows", rows.size(), "why", ending);
 				return;
