Features that the configuration calls for, and where attempts failed

What is new for customers with hard load must leave other installations as they are. A feature of the scheduler now has a trigger: what the declared queues or customers must hold for it to be active (any; a queue of three attempts or more; guarantees that differ fourfold). Four features are declared for the parts that follow; nothing uses them yet. The active ones are logged when they change.

The stored progress of a task can tell where its counted failures occurred; rows without it read as before, and earlier builds ignore the eleventh element. LoadDecision counts the decisions of the new parts.

--- a/core/src/main/java/org/almondmount/workflow/JobQueue.java
+++ b/core/src/main/java/org/almondmount/workflow/JobQueue.java
@@ -24,6 +24,9 @@
 
 	private static final int URGENT_PRIORITY = 0;
 
+	/** Attempts that leave one to spare after a failure and a retry. */
+	private static final int MIN_SPARE_ATTEMPTS = 3;
+
 	/**
 	 * Returns whether the jobs of this queue are placed before those of other queues and
 	 * may preempt them.
@@ -33,4 +36,12 @@
 		return this.priority == URGENT_PRIORITY;
 	}
 
+	/**
+	 * Returns whether a job has an attempt left after a failure and a failed retry.
+	 * @return whether attempts may be spread over different workers
+	 */
+	public boolean hasSpareAttempts() {
+		return this.maxAttempts >= MIN_SPARE_ATTEMPTS;
+	}
+
 }
--- a/core/src/main/java/org/almondmount/workflow/JobRecord.java
+++ b/core/src/main/java/org/almondmount/workflow/JobRecord.java
@@ -73,13 +73,21 @@
 	 * @param lastFailedRun for the first task of a gang, the last run of the gang whose
 	 * failure has been counted; 0 for none
 	 * @param crashes its runs during which a worker crashed, or may have crashed
+	 * @param failedAttempts where its counted failures occurred; for a gang, those of all
+	 * members are listed with the first task
 	 */
 	public record TaskRecord(StepKey step, int index, int lastRun, int failures, boolean done, String checkpoint,
-			List<OpenRun> openRuns, int lastFailedRun, List<Crash> crashes) {
+			List<OpenRun> openRuns, int lastFailedRun, List<Crash> crashes, List<FailedAttempt> failedAttempts) {
 
 		public TaskRecord {
 			openRuns = List.copyOf(openRuns);
 			crashes = List.copyOf(crashes);
+			failedAttempts = List.copyOf(failedAttempts);
+		}
+
+		public TaskRecord(StepKey step, int index, int lastRun, int failures, boolean done, String checkpoint,
+				List<OpenRun> openRuns, int lastFailedRun, List<Crash> crashes) {
+			this(step, index, lastRun, failures, done, checkpoint, openRuns, lastFailedRun, crashes, List.of());
 		}
 
 		public TaskRecord(StepKey step, int index, int lastRun, int failures, boolean done, String checkpoint,
@@ -116,6 +124,16 @@
 
 	}
 
+	/**
+	 * A run that failed on its worker and counts as an attempt.
+	 *
+	 * @param run the number of the run
+	 * @param incarnation the incarnation of the worker on which it failed
+	 * @param workedMillis how long it had worked, in milliseconds
+	 */
+	public record FailedAttempt(int run, WorkerIncarnation incarnation, long workedMillis) {
+	}
+
 	/**
 	 * A run that may be active.
 	 *
--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/LoadDecision.java
@@ -0,0 +1,26 @@
+package org.almondmount.workflow;
+
+/**
+ * The decisions under load or failure that are counted for administrators.
+ */
+public enum LoadDecision {
+
+	/** A retry was kept off workers on which its job had failed before. */
+	FAILED_WORKER_AVOIDED,
+
+	/** The last attempt of a job waited for workers that are proven sound. */
+	LAST_ATTEMPT_HELD_BACK,
+
+	/** A worker was paused because a run failed there right after its start. */
+	WORKER_BLAMED,
+
+	/** A preemption was refused because it would lose more than the urgent job gains. */
+	PREEMPTION_TOO_COSTLY,
+
+	/** A run was not preempted because its job had been preempted before. */
+	REPEATED_PREEMPTION_AVOIDED,
+
+	/** A job was placed behind those of customers that use less of their share. */
+	CUSTOMER_OVER_SHARE
+
+}
--- a/core/src/main/java/org/almondmount/workflow/SchedulerFeature.java
+++ b/core/src/main/java/org/almondmount/workflow/SchedulerFeature.java
@@ -9,6 +9,9 @@
  * Optional features of the workflow scheduler, which let more work complete in time. Each
  * can be disabled separately to see its effect on an installation. The scheduler's
  * promises, such as guarantees and complete gangs, hold without any of them.
+ * <p>
+ * An enabled feature is active only while the configuration of operators calls for it, as
+ * its {@link FeatureTrigger} decides.
  */
 public enum SchedulerFeature {
 
@@ -46,11 +49,43 @@
 	GANG_IN_ONE_RACK,
 
 	/** Starts a task that may crash its worker where a crash affects little else. */
-	SET_SUSPECTS_APART;
+	SET_SUSPECTS_APART,
+
+	/**
+	 * Starts the attempts of a job on different workers, and the last on a proven one.
+	 */
+	SPREAD_ATTEMPTS(FeatureTrigger.SPARE_ATTEMPTS),
+
+	/** Blames the worker for a run that fails right after its start. */
+	BLAME_EARLY_FAILURES(FeatureTrigger.SPARE_ATTEMPTS),
+
+	/** Limits the work that urgent jobs take from others, and how often they take it. */
+	LIMIT_PREEMPTION(FeatureTrigger.UNEVEN_GUARANTEES),
+
+	/** Keeps the burst of one customer from delaying the jobs of the others. */
+	SHARE_BETWEEN_CUSTOMERS(FeatureTrigger.UNEVEN_GUARANTEES);
 
 	/** All features. */
 	public static final Set<SchedulerFeature> ALL = Collections.unmodifiableSet(EnumSet.allOf(SchedulerFeature.class));
 
+	private final FeatureTrigger trigger;
+
+	SchedulerFeature() {
+		this(FeatureTrigger.ALWAYS);
+	}
+
+	SchedulerFeature(FeatureTrigger trigger) {
+		this.trigger = trigger;
+	}
+
+	/**
+	 * Returns what the configuration must hold for the feature to be active.
+	 * @return the trigger
+	 */
+	public FeatureTrigger trigger() {
+		return this.trigger;
+	}
+
 	/**
 	 * Returns the name of the feature in settings.
 	 * @return the constant's name in camel case
--- a/core/src/main/java/org/almondmount/workflow/WorkflowCommand.java
+++ b/core/src/main/java/org/almondmount/workflow/WorkflowCommand.java
@@ -62,6 +62,10 @@
 	record CountFailure(JobFailure failure) implements WorkflowCommand {
 	}
 
+	/** Counts a decision under load or failure. */
+	record CountDecision(LoadDecision decision) implements WorkflowCommand {
+	}
+
 	/** Confirms that the cancellation of a job is stored. */
 	record CancellationPersisted(String job) implements WorkflowCommand {
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -2,11 +2,14 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
+import org.almondmount.workflow.FleetConfiguration;
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.JobRecord;
 import org.almondmount.workflow.JobRecord.OpenRun;
 import org.almondmount.workflow.JobRecord.TaskRecord;
+import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.SchedulerPolicy;
 import org.almondmount.workflow.WorkOutcome;
 import org.almondmount.workflow.Workflow;
@@ -85,8 +88,7 @@
 
 	private boolean handleConfiguration(WorkflowEvent event) {
 		if (event instanceof WorkflowEvent.ConfigurationChanged changed) {
-			this.state.configuration(changed.configuration());
-			this.runLifecycle.failExhaustedJobs();
+			changeConfiguration(changed.configuration());
 			return true;
 		}
 		if (event instanceof WorkflowEvent.ZonesOutChanged changed) {
@@ -96,6 +98,16 @@
 		return false;
 	}
 
+	private void changeConfiguration(FleetConfiguration next) {
+		Set<SchedulerFeature> before = this.state.triggeredFeatures();
+		this.state.configuration(next);
+		Set<SchedulerFeature> after = this.state.triggeredFeatures();
+		if (!after.equals(before)) {
+			this.state.explain("features-active", "revision", next.revision(), "features", after);
+		}
+		this.runLifecycle.failExhaustedJobs();
+	}
+
 	private boolean handleTerm(WorkflowEvent event) {
 		if (event instanceof WorkflowEvent.TermBegan began) {
 			this.placementRound.clear();
--- a/core/src/main/java/org/almondmount/workflow/impl/RunLifecycle.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLifecycle.java
@@ -278,11 +278,7 @@
 	private void taskFailed(Run run) {
 		StepState step = run.task().step();
 		JobState job = step.job();
-		if (this.state.has(SchedulerFeature.REST_SUSPICIOUS)
-				&& run.worker().health().recordFailure(this.state.steadyMillis(), job.id())) {
-			this.state.explain("worker-paused", "worker", run.worker().target(), "why",
-					"several jobs failed in a row on this worker");
-		}
+		recordFailureOnWorker(run);
 		if (step.spec().longRunning()) {
 			return;
 		}
@@ -291,6 +287,14 @@
 		failIfExhausted(job, run.task(), failures);
 	}
 
+	private void recordFailureOnWorker(Run run) {
+		if (this.state.has(SchedulerFeature.REST_SUSPICIOUS)
+				&& run.worker().health().recordFailure(this.state.steadyMillis(), run.task().step().job().id())) {
+			this.state.explain("worker-paused", "worker", run.worker().target(), "why",
+					"several jobs failed in a row on this worker");
+		}
+	}
+
 	// A new holder may receive the report of a failure before it has read the queue that
 	// sets the number of attempts. The job is checked once the queue is known.
 	private void failIfExhausted(JobState job, TaskState task, int failures) {
--- a/core/src/main/java/org/almondmount/workflow/impl/SchedulerState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/SchedulerState.java
@@ -1,14 +1,17 @@
 package org.almondmount.workflow.impl;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
+import org.almondmount.workflow.FeatureTrigger;
 import org.almondmount.workflow.FleetConfiguration;
 import org.almondmount.workflow.JobQueue;
+import org.almondmount.workflow.LoadDecision;
 import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.SchedulerPolicy;
 import org.almondmount.workflow.WorkerIncarnation;
@@ -34,6 +37,8 @@
 
 	private FleetConfiguration configuration = FleetConfiguration.NONE;
 
+	private Set<SchedulerFeature> activeFeatures;
+
 	private Set<String> zonesOut = Set.of();
 
 	private long epoch;
@@ -44,14 +49,44 @@
 
 	SchedulerState(SchedulerPolicy policy) {
 		this.policy = policy;
+		this.activeFeatures = activeFeatures(FleetConfiguration.NONE);
 	}
 
 	SchedulerPolicy policy() {
 		return this.policy;
 	}
 
+	/**
+	 * Whether a feature is active.
+	 * @param feature the feature
+	 * @return whether it is enabled and the configuration calls for it
+	 */
 	boolean has(SchedulerFeature feature) {
-		return this.policy.isEnabled(feature);
+		return this.activeFeatures.contains(feature);
+	}
+
+	/**
+	 * Returns the active features that the configuration called for.
+	 * @return the features that are not always active
+	 */
+	Set<SchedulerFeature> triggeredFeatures() {
+		Set<SchedulerFeature> triggered = EnumSet.noneOf(SchedulerFeature.class);
+		for (SchedulerFeature feature : this.activeFeatures) {
+			if (feature.trigger() != FeatureTrigger.ALWAYS) {
+				triggered.add(feature);
+			}
+		}
+		return triggered;
+	}
+
+	private Set<SchedulerFeature> activeFeatures(FleetConfiguration declared) {
+		Set<SchedulerFeature> active = EnumSet.noneOf(SchedulerFeature.class);
+		for (SchedulerFeature feature : this.policy.features()) {
+			if (feature.trigger().matches(declared)) {
+				active.add(feature);
+			}
+		}
+		return active;
 	}
 
 	Map<String, JobState> jobs() {
@@ -86,6 +121,7 @@
 	void configuration(FleetConfiguration next) {
 		if (next.revision() >= this.configuration.revision()) {
 			this.configuration = next;
+			this.activeFeatures = activeFeatures(next);
 		}
 	}
 
@@ -151,6 +187,10 @@
 		emit(WorkflowCommand.LogDecision.of(event, keysAndValues));
 	}
 
+	void count(LoadDecision decision) {
+		emit(new WorkflowCommand.CountDecision(decision));
+	}
+
 	List<WorkflowCommand> commands() {
 		return this.commands;
 	}
--- a/fleet/src/main/java/org/almondmount/fleet/codec/RecordCodec.java
+++ b/fleet/src/main/java/org/almondmount/fleet/codec/RecordCodec.java
@@ -14,6 +14,7 @@
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.JobRecord;
 import org.almondmount.workflow.JobRecord.Crash;
+import org.almondmount.workflow.JobRecord.FailedAttempt;
 import org.almondmount.workflow.JobRecord.OpenRun;
 import org.almondmount.workflow.JobRecord.StepKey;
 import org.almondmount.workflow.JobRecord.TaskRecord;
@@ -166,15 +167,35 @@
 				.add(run.incarnation().startedAtMillis())
 				.add(run.epoch());
 		}
-		if (task.lastFailedRun() != 0 || !task.crashes().isEmpty()) {
+		boolean hasFailedAttempts = !task.failedAttempts().isEmpty();
+		boolean hasCrashes = hasFailedAttempts || !task.crashes().isEmpty();
+		if (task.lastFailedRun() != 0 || hasCrashes) {
 			out.add(task.lastFailedRun());
 		}
-		if (!task.crashes().isEmpty()) {
+		if (hasCrashes) {
 			writeCrashes(out.addArray(), task.crashes());
 		}
+		if (hasFailedAttempts) {
+			writeFailedAttempts(out.addArray(), task.failedAttempts());
+		}
 		return out;
 	}
 
+	private static void writeFailedAttempts(ArrayNode out, List<FailedAttempt> attempts) {
+		for (FailedAttempt attempt : attempts) {
+			out.addArray()
+				.add(attempt.run())
+				.add(attempt.incarnation().worker())
+				.add(attempt.incarnation().startedAtMillis())
+				.add(attempt.workedMillis());
+		}
+	}
+
+	private static FailedAttempt readFailedAttempt(JsonNode in) {
+		WorkerIncarnation incarnation = new WorkerIncarnation(in.path(1).asText(), in.path(2).asLong());
+		return new FailedAttempt(in.path(0).asInt(), incarnation, in.path(3).asLong());
+	}
+
 	private static void writeCrashes(ArrayNode out, List<Crash> crashes) {
 		for (Crash crash : crashes) {
 			out.addArray()
@@ -197,7 +218,7 @@
 		StepKey step = new StepKey(in.path(0).asInt(), in.path(1).asInt());
 		return new TaskRecord(step, in.path(2).asInt(), in.path(3).asInt(), in.path(4).asInt(), in.path(5).asInt() == 1,
 				in.path(6).asText(), readList(in.path(7), RecordCodec::readRun), in.path(8).asInt(),
-				readList(in.path(9), RecordCodec::readCrash));
+				readList(in.path(9), RecordCodec::readCrash), readList(in.path(10), RecordCodec::readFailedAttempt));
 	}
 
 	private static OpenRun readRun(JsonNode in) {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/SchedulerDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/SchedulerDriver.java
@@ -29,6 +29,7 @@
 import org.almondmount.workflow.JobFailure;
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.JobRecord;
+import org.almondmount.workflow.LoadDecision;
 import org.almondmount.workflow.PlacementRateLimiter;
 import org.almondmount.workflow.WorkOutcome;
 import org.almondmount.workflow.Workflow;
@@ -51,6 +52,9 @@
 	/** Failed jobs, by reason. */
 	private static final String FAILED_JOBS_METRIC = "jobs.failed";
 
+	/** Decisions under load or failure. */
+	private static final String DECISIONS_METRIC = "decisions";
+
 	/** Duration of a placement round. */
 	private static final String PLACEMENT_METRIC = "placement";
 
@@ -127,6 +131,7 @@
 		this.leaseMillis = leaseMillis;
 		telemetry.declare(WORK_METRIC, WorkOutcome.class);
 		telemetry.declare(FAILED_JOBS_METRIC, JobFailure.class);
+		telemetry.declare(DECISIONS_METRIC, LoadDecision.class);
 		this.commandSender = new TargetCommandSender(term, targets, telemetry);
 	}
 
@@ -305,6 +310,9 @@
 		else if (command instanceof WorkflowCommand.CountFailure failure) {
 			this.telemetry.count(FAILED_JOBS_METRIC, failure.failure());
 		}
+		else if (command instanceof WorkflowCommand.CountDecision decision) {
+			this.telemetry.count(DECISIONS_METRIC, decision.decision());
+		}
 		else if (command instanceof WorkflowCommand.DeleteJobs deletion) {
 			deleteJobs(deletion.jobs());
 		}
--- a/fleet/src/test/java/org/almondmount/fleet/codec/RecordCodecTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/codec/RecordCodecTests.java
@@ -38,6 +38,15 @@
 		assertThat(RecordCodec.readProgress(RecordCodec.write(record))).isEqualTo(record);
 	}
 
+	@Test
+	void failedAttemptsAreReadAsTheyWereWritten() {
+		JobRecord.FailedAttempt attempt = new JobRecord.FailedAttempt(2, new WorkerIncarnation("w", 7), 40);
+		JobRecord record = new JobRecord("j", JobPhase.RUNNING, List.of(),
+				List.of(new JobRecord.TaskRecord(new JobRecord.StepKey(0, 0), 0, 2, 1, false, "", List.of(), 0,
+						List.of(), List.of(attempt))));
+		assertThat(RecordCodec.readProgress(RecordCodec.write(record))).isEqualTo(record);
+	}
+
 	@Test
 	void aTermIsReadAsItWasWritten() {
 		TermRow row = new TermRow("entry-1-x", "10.0.0.1:7000", 4, 17, 2_000, true);
