--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerHealth.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerHealth.java
@@ -34,9 +34,12 @@
 
 	private int pauses;
 
+	private boolean proven;
+
 	void recordSuccess() {
 		this.failedJobs.clear();
 		this.pauses = 0;
+		this.proven = true;
 	}
 
 	/**
@@ -47,6 +50,7 @@
 	 */
 	boolean recordFailure(long now, String job) {
 		this.failedJobs.add(job);
+		this.proven = false;
 		if (this.failedJobs.size() < MIN_FAILED_JOBS) {
 			return false;
 		}
@@ -65,6 +69,15 @@
 		return now >= this.pausedUntilMillis;
 	}
 
+	/**
+	 * Whether the worker has recently shown that it completes what it starts.
+	 * @param now the steady clock
+	 * @return whether a run succeeded there after the last failure
+	 */
+	boolean isProven(long now) {
+		return this.proven && usable(now);
+	}
+
 	/**
 	 * Returns the number of different jobs that failed since the last success.
 	 * @return the number of jobs
