Attempts of a job meet different workers, the last a proven one

In an outbreak some workers fail whatever they start within a fraction of a second and look free. A retry was placed by the same rules as a first attempt a tenth of a second later, often on the same worker, so jobs without a fault of their own used up three attempts.

Where counted failures occurred is now kept with the task (a gang's with its first task) and stored with its progress, at most 16 runs a task and 200 a job. A retry stays off the workers where it failed while the others could hold it; it waits for them while its job can be in time, 2 s in any case and 10 s at most. The last attempt goes to proven workers or is held back, at most 2 s after the failure and not beyond the start with which its job is in time, 1 s if it was late already. Guaranteed units are not held back. The decision is pure (workflow.attempt); RetryPlanner restricts the units of a round to the workers that it names.

Active for queues of three attempts or more; otherwise commands are the same (FailureOutbreakTests plays both).

FailureOutbreakTests, five loads on 40 workers of which four are faulty for 6 s: no job lost with the feature, some without, and at least as many in time.

--- a/core/src/main/java/org/almondmount/workflow/impl/JobState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/JobState.java
@@ -19,6 +19,13 @@
  */
 final class JobState {
 
+	/**
+	 * Maximum number of failed attempts in the stored record of a job. The row of a job
+	 * with the maximum number of tasks has little space left; attempts beyond the limit
+	 * are known to this holder only.
+	 */
+	private static final int MAX_STORED_ATTEMPTS = 200;
+
 	private final Workflow workflow;
 
 	private final Map<StepKey, StepState> steps = new LinkedHashMap<>();
@@ -169,13 +176,16 @@
 	JobRecord toRecord() {
 		List<StepKey> doneSteps = new ArrayList<>();
 		List<TaskRecord> tasks = new ArrayList<>();
+		int attemptsLeft = MAX_STORED_ATTEMPTS;
 		for (StepState step : this.steps.values()) {
 			if (step.done()) {
 				doneSteps.add(step.key());
 			}
 			for (TaskState task : step.tasks()) {
 				if (!task.idle() || (!step.done() && task.hasRun())) {
-					tasks.add(task.toRecord());
+					TaskRecord stored = task.toRecord(attemptsLeft);
+					attemptsLeft -= stored.failedAttempts().size();
+					tasks.add(stored);
 				}
 			}
 		}
--- a/core/src/main/java/org/almondmount/workflow/impl/PendingUnits.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PendingUnits.java
@@ -30,8 +30,17 @@
 		.thenComparing((unit) -> !unit.deadline().timeliness().earliestFirst())
 		.thenComparingDouble(PendingUnits::rankWithinQueue);
 
+	/**
+	 * Once a task of a step does not fit, its other tasks are not tried. A task that may
+	 * use fewer workers must therefore come after those that may use more.
+	 */
+	private static final Comparator<WorkUnit> MOST_WORKERS_FIRST = Comparator
+		.comparingInt((WorkUnit unit) -> -unit.workers().size());
+
 	private final SchedulerState state;
 
+	private final RetryPlanner retryPlanner;
+
 	private GuaranteedJobs guaranteed = GuaranteedJobs.NONE;
 
 	/** Workers by pool and required label, cached for the current round. */
@@ -39,6 +48,7 @@
 
 	PendingUnits(SchedulerState state) {
 		this.state = state;
+		this.retryPlanner = new RetryPlanner(state);
 	}
 
 	/**
@@ -102,17 +112,22 @@
 		}
 		if (step.spec().gangScheduled()) {
 			if (step.allIdle()) {
-				units.add(new WorkUnit(queue, step, step.tasks(), eligible, deadline, guaranteed,
-						isolation(step.tasks())));
+				WorkUnit gang = new WorkUnit(queue, step, step.tasks(), eligible, deadline, guaranteed,
+						isolation(step.tasks()));
+				this.retryPlanner.restrict(gang).ifPresent(units::add);
 			}
 			return;
 		}
+		List<WorkUnit> singles = new ArrayList<>();
 		for (TaskState task : step.tasks()) {
 			if (task.idle() && !task.done()) {
-				List<TaskState> single = List.of(task);
-				units.add(new WorkUnit(queue, step, single, eligible, deadline, guaranteed, isolation(single)));
+				List<TaskState> tasks = List.of(task);
+				WorkUnit single = new WorkUnit(queue, step, tasks, eligible, deadline, guaranteed, isolation(tasks));
+				this.retryPlanner.restrict(single).ifPresent(singles::add);
 			}
 		}
+		singles.sort(MOST_WORKERS_FIRST);
+		units.addAll(singles);
 	}
 
 	private IsolationLevel isolation(List<TaskState> tasks) {
--- a/core/src/main/java/org/almondmount/workflow/impl/RunLifecycle.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLifecycle.java
@@ -9,6 +9,7 @@
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.JobQueue;
 import org.almondmount.workflow.JobRecord.Crash;
+import org.almondmount.workflow.JobRecord.FailedAttempt;
 import org.almondmount.workflow.RunOutcome;
 import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.WorkOutcome;
@@ -283,10 +284,24 @@
 			return;
 		}
 		int failures = step.countFailure(run.task(), run.number());
+		recordFailedAttempt(run);
 		step.notBefore(this.state.steadyMillis() + RETRY_DELAY_MILLIS);
 		failIfExhausted(job, run.task(), failures);
 	}
 
+	private void recordFailedAttempt(Run run) {
+		long now = this.state.steadyMillis();
+		StepState step = run.task().step();
+		boolean spreads = this.state.queueOf(step.job())
+			.map((queue) -> RetryPlanner.spreadsAttempts(this.state, queue))
+			.orElse(false);
+		if (spreads) {
+			step.failureCountOwner(run.task())
+				.attempts()
+				.add(now, new FailedAttempt(run.number(), run.worker().incarnation(), run.workedMillis(now)));
+		}
+	}
+
 	private void recordFailureOnWorker(Run run) {
 		if (this.state.has(SchedulerFeature.REST_SUSPICIOUS)
 				&& run.worker().health().recordFailure(this.state.steadyMillis(), run.task().step().job().id())) {
--- a/core/src/main/java/org/almondmount/workflow/impl/TaskState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/TaskState.java
@@ -6,6 +6,7 @@
 
 import org.almondmount.workflow.JobRecord.TaskRecord;
 import org.almondmount.workflow.TaskId;
+import org.almondmount.workflow.attempt.AttemptHistory;
 
 /**
  * The state of a task. Mutable; owned by the scheduler.
@@ -28,6 +29,9 @@
 
 	private final CrashHistory crashes = new CrashHistory();
 
+	/** Created with the first failure, because most tasks never fail. */
+	private Optional<AttemptHistory> attempts = Optional.empty();
+
 	TaskState(StepState step, int index) {
 		this.step = step;
 		this.index = index;
@@ -104,14 +108,32 @@
 		return this.crashes;
 	}
 
+	/**
+	 * Returns where the counted failures of this task occurred; for the first task of a
+	 * gang, those of all members.
+	 * @return the attempt history
+	 */
+	AttemptHistory attempts() {
+		if (this.attempts.isEmpty()) {
+			this.attempts = Optional.of(new AttemptHistory());
+		}
+		return this.attempts.get();
+	}
+
 	boolean hasRun() {
 		return this.lastRun > 0;
 	}
 
-	TaskRecord toRecord() {
+	/**
+	 * Returns the record to store.
+	 * @param maxFailedAttempts the maximum number of failed attempts in the record
+	 * @return the record
+	 */
+	TaskRecord toRecord(int maxFailedAttempts) {
 		return new TaskRecord(this.step.key(), this.index, this.lastRun, this.failures, this.done, this.checkpoint,
 				this.openRuns.stream().map(Run::toRecord).toList(), (this.index == 0) ? this.step.failedRun() : 0,
-				this.crashes.crashes());
+				this.crashes.crashes(),
+				this.attempts.map((history) -> history.latest(maxFailedAttempts)).orElse(List.of()));
 	}
 
 	void restore(TaskRecord persisted) {
@@ -120,6 +142,9 @@
 		this.done = persisted.done();
 		this.checkpoint = persisted.checkpoint();
 		this.crashes.restore(persisted.crashes());
+		if (!persisted.failedAttempts().isEmpty()) {
+			attempts().restore(persisted.failedAttempts());
+		}
 		if (this.index == 0) {
 			this.step.restoreFailedRun(persisted.lastFailedRun());
 		}
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkUnit.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkUnit.java
@@ -25,6 +25,10 @@
 				this.isolation);
 	}
 
+	WorkUnit withWorkers(List<Worker> others) {
+		return new WorkUnit(this.queue, this.step, this.tasks, others, this.deadline, this.guaranteed, this.isolation);
+	}
+
 	TaskState firstTask() {
 		return this.tasks.get(0);
 	}
