Fast workers are kept for urgent jobs

Workers of one kind differ in speed by more than a factor of two on one installation, and no label says so. An urgent job has one and a half times its run time: on a slow worker any delay makes it late, on a fast one it survives a failed attempt.

Speeds are learnt from the progress of runs: tasks of one step are alike, so each is compared with the median of its step at the same age.

--- a/core/src/main/java/org/almondmount/workflow/FeatureTrigger.java
+++ b/core/src/main/java/org/almondmount/workflow/FeatureTrigger.java
@@ -31,6 +31,18 @@
 
 	},
 
+	/**
+	 * An urgent queue whose objective leaves little time beyond the run time of a job.
+	 */
+	TIGHT_OBJECTIVES {
+
+		@Override
+		public boolean matches(FleetConfiguration configuration) {
+			return configuration.queues().stream().anyMatch((queue) -> queue.urgent() && queue.hasTightObjective());
+		}
+
+	},
+
 	/**
 	 * Several customers with guarantees of which the largest is a multiple of the
 	 * smallest, so that one customer can take most of the fleet from the others.
--- a/core/src/main/java/org/almondmount/workflow/JobQueue.java
+++ b/core/src/main/java/org/almondmount/workflow/JobQueue.java
@@ -24,6 +24,12 @@
 
 	private static final int URGENT_PRIORITY = 0;
 
+	/**
+	 * Multiple of the critical path below which an objective is tight: a second run after
+	 * a failure, or a worker of half the speed, makes the job late.
+	 */
+	private static final double TIGHT_CRITICAL_PATH_FACTOR = 2;
+
 	/** Attempts that leave one to spare after a failure and a retry. */
 	private static final int MIN_SPARE_ATTEMPTS = 3;
 
@@ -36,6 +42,14 @@
 		return this.priority == URGENT_PRIORITY;
 	}
 
+	/**
+	 * Returns whether the objective leaves little time beyond the run time of a job.
+	 * @return whether a run at half of the usual speed makes a job late
+	 */
+	public boolean hasTightObjective() {
+		return this.criticalPathFactor < TIGHT_CRITICAL_PATH_FACTOR;
+	}
+
 	/**
 	 * Returns whether a job has an attempt left after a failure and a failed retry.
 	 * @return whether attempts may be spread over different workers
--- a/core/src/main/java/org/almondmount/workflow/SchedulerFeature.java
+++ b/core/src/main/java/org/almondmount/workflow/SchedulerFeature.java
@@ -63,7 +63,12 @@
 	LIMIT_PREEMPTION(FeatureTrigger.UNEVEN_GUARANTEES),
 
 	/** Keeps the burst of one customer from delaying the jobs of the others. */
-	SHARE_BETWEEN_CUSTOMERS(FeatureTrigger.UNEVEN_GUARANTEES);
+	SHARE_BETWEEN_CUSTOMERS(FeatureTrigger.UNEVEN_GUARANTEES),
+
+	/**
+	 * Learns the speeds of workers, and keeps fast ones for jobs with tight objectives.
+	 */
+	PREFER_FAST_WORKERS(FeatureTrigger.TIGHT_OBJECTIVES);
 
 	/** All features. */
 	public static final Set<SchedulerFeature> ALL = Collections.unmodifiableSet(EnumSet.allOf(SchedulerFeature.class));
--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -89,7 +89,7 @@
 		this.state = state;
 		this.runLifecycle = runLifecycle;
 		this.pendingUnits = new PendingUnits(state);
-		this.placer = new Placer(state.policy(), state::steadyMillis);
+		this.placer = new Placer(state.policy(), state::steadyMillis, state::speedProfile);
 		this.preemptionPlanner = new PreemptionPlanner(this.placer);
 	}
 
--- a/core/src/main/java/org/almondmount/workflow/impl/Placer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -13,6 +13,8 @@
 import org.almondmount.workflow.ResourceAmount;
 import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.SchedulerPolicy;
+import org.almondmount.workflow.speed.SpeedPreference;
+import org.almondmount.workflow.speed.SpeedProfile;
 
 /**
  * Chooses workers for a unit. Stateless.
@@ -39,6 +41,12 @@
 	 */
 	private static final double FAILED_JOB_COST = 3;
 
+	/**
+	 * Cost of a worker that the unit avoids for its speed. Like one failed job, it
+	 * outweighs a better fit, but not the rack of the data.
+	 */
+	private static final double AVOIDED_SPEED_COST = 3;
+
 	/**
 	 * Cost of each core-second of other work that a crash may lose. For a suspect, ten
 	 * core-seconds weigh as much as the rack of its data.
@@ -49,9 +57,12 @@
 
 	private final LongSupplier steadyMillis;
 
-	Placer(SchedulerPolicy policy, LongSupplier steadyMillis) {
+	private final Supplier<SpeedProfile> speedProfile;
+
+	Placer(SchedulerPolicy policy, LongSupplier steadyMillis, Supplier<SpeedProfile> speedProfile) {
 		this.policy = policy;
 		this.steadyMillis = steadyMillis;
+		this.speedProfile = speedProfile;
 	}
 
 	/**
@@ -70,7 +81,16 @@
 		if (!requiresOneRack(unit, workers)) {
 			return fill(unit, workers, capacity);
 		}
-		for (List<Worker> rack : racks(unit, workers)) {
+		List<List<Worker>> racks = racks(unit, workers);
+		if (preference(unit) == SpeedPreference.FAST_FIRST) {
+			for (List<Worker> rack : racks) {
+				Optional<Map<TaskState, Worker>> found = fill(unit, soundFastOnes(rack), capacity);
+				if (found.isPresent()) {
+					return found;
+				}
+			}
+		}
+		for (List<Worker> rack : racks) {
 			Optional<Map<TaskState, Worker>> found = fill(unit, rack, capacity);
 			if (found.isPresent()) {
 				return found;
@@ -128,14 +148,38 @@
 		}
 		List<WorkerChoice> choices = new ArrayList<>(workers.size());
 		ToDoubleFunction<Worker> crashLoss = crashLoss(unit);
+		SpeedPreference preference = gangPreference(unit, workers, capacity);
 		for (Worker worker : workers) {
 			choices.add(new WorkerChoice(worker, crashLoss.applyAsDouble(worker), worker.health().failedJobCount(),
-					fitCost(worker, capacity.available(worker))));
+					preference.rank(isFast(worker)), fitCost(worker, capacity.available(worker))));
 		}
 		choices.sort(WorkerChoice.ORDER);
 		return fillInOrder(unit, choices.stream().map(WorkerChoice::worker).toList(), capacity);
 	}
 
+	// A gang is as slow as its slowest member, so fast workers are of use to it only if
+	// they hold all of it.
+	private SpeedPreference gangPreference(WorkUnit unit, List<Worker> workers, TentativeCapacity capacity) {
+		SpeedPreference preference = preference(unit);
+		if (preference == SpeedPreference.FAST_FIRST && !capacity.canPlaceAll(soundFastOnes(workers), unit)) {
+			return SpeedPreference.FAST_LAST;
+		}
+		return preference;
+	}
+
+	private SpeedPreference preference(WorkUnit unit) {
+		return SpeedPreference.of(this.speedProfile.get(), unit.queue().hasTightObjective());
+	}
+
+	private boolean isFast(Worker worker) {
+		return this.speedProfile.get().isFast(worker.speed());
+	}
+
+	// A worker on which jobs failed is chosen last, whatever its speed.
+	private List<Worker> soundFastOnes(List<Worker> workers) {
+		return workers.stream().filter((worker) -> isFast(worker) && worker.health().failedJobCount() == 0).toList();
+	}
+
 	/**
 	 * Fills the workers one after the other.
 	 * @param unit the unit to place
@@ -165,6 +209,7 @@
 		Worker best = null;
 		double bestCost = Double.MAX_VALUE;
 		ToDoubleFunction<Worker> crashLoss = crashLoss(unit);
+		SpeedPreference preference = preference(unit);
 		for (Worker worker : workers) {
 			if (!capacity.canPlace(worker, unit)) {
 				continue;
@@ -172,6 +217,7 @@
 			double cost = fitCost(worker, capacity.available(worker).minus(unit.allocation()));
 			cost += remoteRackCost(dataRack, worker) + worker.health().failedJobCount() * FAILED_JOB_COST;
 			cost += crashLoss.applyAsDouble(worker) * CORE_SECOND_COST;
+			cost += preference.rank(isFast(worker)) * AVOIDED_SPEED_COST;
 			if (cost < bestCost) {
 				best = worker;
 				bestCost = cost;
@@ -237,12 +283,14 @@
 	 * @param crashLoss the work that a suspect may lose there, in core-seconds; 0 for all
 	 * other units
 	 * @param failedJobs the number of jobs that failed there without a success in between
+	 * @param speedRank whether its speed suits the unit, 0 if it does
 	 * @param fitCost the capacity that stays free there
 	 */
-	private record WorkerChoice(Worker worker, double crashLoss, int failedJobs, double fitCost) {
+	private record WorkerChoice(Worker worker, double crashLoss, int failedJobs, int speedRank, double fitCost) {
 
 		private static final Comparator<WorkerChoice> ORDER = Comparator.comparingDouble(WorkerChoice::crashLoss)
 			.thenComparingInt(WorkerChoice::failedJobs)
+			.thenComparingInt(WorkerChoice::speedRank)
 			.thenComparingDouble(WorkerChoice::fitCost);
 
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -1,6 +1,7 @@
 package org.almondmount.workflow.impl;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.almondmount.workflow.JobRecord.OpenRun;
 import org.almondmount.workflow.ResourceAmount;
@@ -17,6 +18,16 @@
 	/** Minimum progress from which a speed is calculated. */
 	private static final int MIN_PROGRESS_PERCENT = 5;
 
+	/**
+	 * Minimum time between the reports from which the speed of a worker is learnt, in
+	 * milliseconds; the times of the reports are known only to within a part of their
+	 * interval.
+	 */
+	private static final long MIN_SPEED_SAMPLE_MILLIS = 1_000;
+
+	/** Part of the expected run time at which the speed of a worker is learnt. */
+	private static final double SPEED_SAMPLE_SHARE = 0.3;
+
 	/** Run time that is assumed when there is no estimate, in milliseconds. */
 	private static final long DEFAULT_RUN_TIME_MILLIS = 10_000;
 
@@ -74,6 +85,8 @@
 
 	private String lastCheckpoint;
 
+	private boolean speedSampled;
+
 	private Optional<WorkOutcome> lossCause = Optional.empty();
 
 	private Optional<WorkerIncarnation> lostIncarnation = Optional.empty();
@@ -331,6 +344,30 @@
 				/ MAX_PERCENT;
 	}
 
+	/**
+	 * Extrapolates the run time on this worker from the progress so far, once for each
+	 * run. All runs are sampled at the same age, so that the first samples of a step are
+	 * not those of the fastest workers. Members of a gang progress only while the gang is
+	 * complete, so their age counts from then on.
+	 * @param now the steady clock
+	 * @return milliseconds, or empty if the run is too young, makes too little progress,
+	 * or has been sampled before
+	 */
+	OptionalLong sampleRunTime(long now) {
+		if (this.speedSampled || this.workStartedMillis == NOT_SET) {
+			return OptionalLong.empty();
+		}
+		long ageMillis = now - Math.max(this.startedMillis, this.workStartedMillis);
+		double sampleAgeMillis = this.task.step().expectedMillis() * SPEED_SAMPLE_SHARE;
+		if (ageMillis < Math.max(MIN_SPEED_SAMPLE_MILLIS, sampleAgeMillis)) {
+			return OptionalLong.empty();
+		}
+		this.speedSampled = true;
+		int progress = this.progressPercent - this.firstProgressPercent;
+		return (progress >= MIN_PROGRESS_PERCENT) ? OptionalLong.of(ageMillis * MAX_PERCENT / progress)
+				: OptionalLong.empty();
+	}
+
 	/**
 	 * Whether the time since the first report covers the whole task.
 	 * @return whether the start was observed and the run did not resume from a checkpoint
--- a/core/src/main/java/org/almondmount/workflow/impl/SchedulerState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/SchedulerState.java
@@ -17,6 +17,7 @@
 import org.almondmount.workflow.WorkerIncarnation;
 import org.almondmount.workflow.WorkflowCommand;
 import org.almondmount.workflow.WorkflowScheduler.ClockReading;
+import org.almondmount.workflow.speed.SpeedProfile;
 
 /**
  * The state that the components of the scheduler share. Mutable; owned by the scheduler.
@@ -41,6 +42,10 @@
 
 	private Set<String> zonesOut = Set.of();
 
+	private SpeedProfile speedProfile = SpeedProfile.EVEN;
+
+	private boolean speedProfileOutdated;
+
 	private long epoch;
 
 	private long termBeganMillis;
@@ -165,6 +170,33 @@
 		this.workers.clear();
 		this.writeAheadBuffer.clear();
 		this.runTimeEstimator.clear();
+		this.speedProfile = SpeedProfile.EVEN;
+	}
+
+	void recordSpeed(Run run, long runMillis) {
+		this.speedProfileOutdated |= run.task().step().runTimes().record(run.worker().speed(), runMillis);
+	}
+
+	/**
+	 * Returns the speeds of the workers, as far as they are known.
+	 * @return the profile, even if speeds are not learnt
+	 */
+	SpeedProfile speedProfile() {
+		if (this.speedProfileOutdated) {
+			this.speedProfileOutdated = false;
+			updateSpeedProfile(SpeedProfile.of(this.workers.values().stream().map(Worker::speed).toList()));
+		}
+		return this.speedProfile;
+	}
+
+	private void updateSpeedProfile(SpeedProfile next) {
+		if (next.isUneven() != this.speedProfile.isUneven()) {
+			explain("worker-speeds", "uneven", next.isUneven(), "fast",
+					this.workers.values().stream().filter((worker) -> next.isFast(worker.speed())).count(), "known",
+					this.workers.values().stream().filter((worker) -> worker.speed().isKnown()).count(), "workers",
+					this.workers.size());
+		}
+		this.speedProfile = next;
 	}
 
 	void now(ClockReading instant) {
--- a/core/src/main/java/org/almondmount/workflow/impl/StepState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/StepState.java
@@ -5,6 +5,7 @@
 
 import org.almondmount.workflow.JobRecord.StepKey;
 import org.almondmount.workflow.Step;
+import org.almondmount.workflow.speed.StepRunTimes;
 
 /**
  * A step of one occurrence of a job. Mutable; owned by the scheduler.
@@ -27,6 +28,8 @@
 
 	private int observedRunCount;
 
+	private final StepRunTimes runTimes = new StepRunTimes();
+
 	private boolean done;
 
 	/**
@@ -170,6 +173,14 @@
 		return this.expectedMillis;
 	}
 
+	/**
+	 * Returns the run times of its tasks on different workers.
+	 * @return the run times observed in this term
+	 */
+	StepRunTimes runTimes() {
+		return this.runTimes;
+	}
+
 	/**
 	 * Returns the estimated length of the critical path from the beginning of this step.
 	 * @return milliseconds
--- a/core/src/main/java/org/almondmount/workflow/impl/Worker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Worker.java
@@ -7,6 +7,7 @@
 import org.almondmount.workflow.ResourceAmount;
 import org.almondmount.workflow.WorkerDescription;
 import org.almondmount.workflow.WorkerIncarnation;
+import org.almondmount.workflow.speed.WorkerSpeed;
 
 /**
  * One incarnation of a worker, with the runs that may be running there. Mutable; owned by
@@ -31,6 +32,8 @@
 
 	private final WorkerHealth health = new WorkerHealth();
 
+	private final WorkerSpeed speed = new WorkerSpeed();
+
 	private Optional<WorkerDescription> description = Optional.empty();
 
 	private String rack = "";
@@ -171,6 +174,10 @@
 		return this.health;
 	}
 
+	WorkerSpeed speed() {
+		return this.speed;
+	}
+
 	long lastContactMillis() {
 		return this.lastContactMillis;
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReportHandler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReportHandler.java
@@ -241,9 +241,18 @@
 		else if (isGangRunning(run)) {
 			markGangWorking(run);
 		}
+		recordSpeed(run);
 		updateCrashRisk(run);
 	}
 
+	private void recordSpeed(Run run) {
+		StepState step = run.task().step();
+		if (!this.state.has(SchedulerFeature.PREFER_FAST_WORKERS) || step.spec().longRunning()) {
+			return;
+		}
+		run.sampleRunTime(this.state.steadyMillis()).ifPresent((millis) -> this.state.recordSpeed(run, millis));
+	}
+
 	// A service eventually experiences many crashes without being to blame.
 	private void updateCrashRisk(Run run) {
 		TaskState task = run.task();
