--- a/fleet/src/test/java/org/almondmount/fleet/sim/SimulatedDeclaration.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimulatedDeclaration.java
@@ -14,22 +14,27 @@
 enum SimulatedDeclaration {
 
 	/** Two attempts in each queue, and guarantees of similar size. */
-	MODERATE(2, 16, 8),
+	MODERATE(2, 3, 16, 8),
 
 	/**
-	 * Attempts to spare and guarantees that differ fourfold. They activate the features
-	 * for hard load.
+	 * Attempts to spare, tight objectives of urgent jobs and guarantees that differ
+	 * fourfold. They activate the features for hard load.
 	 */
-	HARD_LOAD(3, 32, 8);
+	HARD_LOAD(3, 1.5, 32, 8);
+
+	private static final double USUAL_CRITICAL_PATH_FACTOR = 3;
 
 	private final int maxAttempts;
 
+	private final double urgentCriticalPathFactor;
+
 	private final long firstGuarantee;
 
 	private final long secondGuarantee;
 
-	SimulatedDeclaration(int attempts, long first, long second) {
+	SimulatedDeclaration(int attempts, double urgentFactor, long first, long second) {
 		this.maxAttempts = attempts;
+		this.urgentCriticalPathFactor = urgentFactor;
 		this.firstGuarantee = first;
 		this.secondGuarantee = second;
 	}
@@ -61,8 +66,9 @@
 	private FleetConfiguration configuration(long revision) {
 		List<JobQueue> queues = new ArrayList<>();
 		for (int priority = 0; priority < 3; priority++) {
+			double factor = (priority == 0) ? this.urgentCriticalPathFactor : USUAL_CRITICAL_PATH_FACTOR;
 			queues.add(new JobQueue("q" + priority, "host", "/q" + priority + "/", "pool", priority, this.maxAttempts,
-					3, 1_000, false, false));
+					factor, 1_000, false, false));
 		}
 		return new FleetConfiguration(revision, queues, List.of("pool"),
 				List.of(new FleetCustomer("one", Set.of("k1"), this.firstGuarantee),
