--- a/core/src/main/java/org/almondmount/workflow/impl/RetryPlanner.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RetryPlanner.java
@@ -30,7 +30,7 @@
 
 	RetryPlanner(SchedulerState state) {
 		this.state = state;
-		this.placer = new Placer(state.policy(), state::steadyMillis);
+		this.placer = new Placer(state.policy(), state::steadyMillis, state::speedProfile);
 	}
 
 	/**
