Workers are blamed for runs that fail right after their start

Change: with blameEarlyFailures, a run that fails before the early age speaks against its worker. The probability that the worker is faulty follows from these failures, joined by job, from starts that were sound, and from the share of the fleet that is faulty now. A worker that is probably faulty is paused and then probed with one run at a time. Off, the counts of failed jobs decide as before.

--- /dev/null
+++ b/core/src/main/java/org/almondmount/workflow/health/FleetHealth.java
@@ -0,0 +1,132 @@
+package org.almondmount.workflow.health;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.almondmount.workflow.JobRecord.FailedAttempt;
+import org.almondmount.workflow.WorkerIncarnation;
+
+/**
+ * What the starts of the last seconds tell about a fleet: the share of faulty workers,
+ * and how often runs fail early on sound ones. Mutable.
+ * <p>
+ * For some seconds a tenth of the workers may fail whatever they start. Such a worker
+ * looks free, and a gang of eight meets one of them in every second attempt.
+ */
+public final class FleetHealth {
+
+	/** Half-life of evidence: as long as workers usually stay faulty. */
+	static final HalfLife EVIDENCE_HALF_LIFE = new HalfLife(5_000);
+
+	/** Half-life of the learnt rate of early failures on sound workers. */
+	private static final HalfLife RATE_HALF_LIFE = new HalfLife(300_000);
+
+	/** Share of faulty workers that is assumed without evidence. */
+	private static final double USUAL_FAULTY_SHARE = 0.02;
+
+	/** Number of observed starts that weigh as much as the assumed share. */
+	private static final double USUAL_SHARE_WEIGHT = 10;
+
+	/** Share above which failures are no longer put down to the workers. */
+	private static final double MAX_FAULTY_SHARE = 0.3;
+
+	/** Early failures on sound workers that are assumed without evidence. */
+	private static final double USUAL_EARLY_FAILURES = 0.5;
+
+	/** Number of starts among which they are assumed. */
+	private static final double USUAL_STARTS = 200;
+
+	/** Evidence from stored failures about workers that are not in contact yet. */
+	private final Map<WorkerIncarnation, WorkerEvidence> restoredWorkers = new HashMap<>();
+
+	private final Map<String, JobEvidence> jobs = new HashMap<>();
+
+	private final DecayingSum faultyStarts = new DecayingSum(EVIDENCE_HALF_LIFE);
+
+	private final DecayingSum soundStarts = new DecayingSum(EVIDENCE_HALF_LIFE);
+
+	private final DecayingSum earlyFailuresOnSound = new DecayingSum(RATE_HALF_LIFE);
+
+	private final DecayingSum startsOnSound = new DecayingSum(RATE_HALF_LIFE);
+
+	private int revision;
+
+	/**
+	 * Starts to collect evidence about one incarnation of a worker.
+	 * @param incarnation the incarnation
+	 * @return its evidence, empty unless failures there were restored
+	 */
+	public WorkerEvidence adopt(WorkerIncarnation incarnation) {
+		WorkerEvidence restored = this.restoredWorkers.remove(incarnation);
+		return (restored != null) ? restored : new WorkerEvidence(this);
+	}
+
+	/**
+	 * Restores a stored failure, which may have happened before this holder's term.
+	 * @param now the steady clock
+	 * @param job the identifier of the job
+	 * @param failure the failure
+	 * @param expectedMillis the expected run time of the task in milliseconds, 0 if it is
+	 * not known
+	 */
+	public void restore(long now, String job, FailedAttempt failure, long expectedMillis) {
+		if (failure.workedMillis() <= EarlyAge.millis(expectedMillis)) {
+			this.restoredWorkers.computeIfAbsent(failure.incarnation(), (unknown) -> new WorkerEvidence(this))
+				.recordEarlyFailure(now, job);
+		}
+	}
+
+	/**
+	 * Returns the share of the workers that are probably faulty now.
+	 * @param now the steady clock
+	 * @return a share between 0 and 1
+	 */
+	public double faultyShare(long now) {
+		double faulty = this.faultyStarts.value(now) + USUAL_FAULTY_SHARE * USUAL_SHARE_WEIGHT;
+		double all = this.faultyStarts.value(now) + this.soundStarts.value(now) + USUAL_SHARE_WEIGHT;
+		return Math.min(MAX_FAULTY_SHARE, faulty / all);
+	}
+
+	/**
+	 * Returns the probability that a run of a sound job fails early on a sound worker.
+	 * @param now the steady clock
+	 * @return the probability
+	 */
+	double earlyFailureRate(long now) {
+		double failures = this.earlyFailuresOnSound.value(now);
+		return (failures + USUAL_EARLY_FAILURES) / (failures + this.startsOnSound.value(now) + USUAL_STARTS);
+	}
+
+	/**
+	 * Returns a number that changes with the evidence.
+	 * @return the number of recorded starts
+	 */
+	int revision() {
+		return this.revision;
+	}
+
+	JobEvidence job(long now, String id) {
+		this.jobs.values().removeIf((job) -> job.isExpired(now));
+		return this.jobs.computeIfAbsent(id, (unknown) -> new JobEvidence(this));
+	}
+
+	void countSoundStart(long now) {
+		this.revision++;
+		this.soundStarts.add(now, 1);
+		this.startsOnSound.add(now, 1);
+	}
+
+	/**
+	 * Counts an early failure on the worker in proportion to the blame that it takes.
+	 * @param now the steady clock
+	 * @param before the probability that the worker is faulty before the failure
+	 * @param after the probability afterwards
+	 */
+	void countEarlyFailure(long now, double before, double after) {
+		this.revision++;
+		this.faultyStarts.add(now, Math.max(0, after - before));
+		this.soundStarts.add(now, 1 - after);
+		this.earlyFailuresOnSound.add(now, 1 - after);
+	}
+
+}
--- a/core/src/main/java/org/almondmount/workflow/impl/Placer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -34,10 +34,10 @@
 	private static final double REMOTE_RACK_COST = 10;
 
 	/**
-	 * Cost of each failed job on a worker. One failed job outweighs a better fit, but not
-	 * the rack of the data.
+	 * Cost of each step of suspicion against a worker. One step outweighs a better fit,
+	 * but not the rack of the data.
 	 */
-	private static final double FAILED_JOB_COST = 3;
+	private static final double SUSPICION_COST = 3;
 
 	/**
 	 * Cost of each core-second of other work that a crash may lose. For a suspect, ten
@@ -63,14 +63,15 @@
 	 */
 	Optional<Map<TaskState, Worker>> place(WorkUnit unit, List<Worker> workers,
 			Supplier<TentativeCapacity> capacities) {
+		List<Worker> candidates = withoutProbed(unit, workers);
 		if (!unit.gang()) {
-			return placeSingle(unit, workers, capacities.get());
+			return placeSingle(unit, candidates, capacities.get());
 		}
 		TentativeCapacity capacity = capacities.get();
-		if (!requiresOneRack(unit, workers)) {
-			return fill(unit, workers, capacity);
+		if (!requiresOneRack(unit, candidates)) {
+			return fill(unit, candidates, capacity);
 		}
-		for (List<Worker> rack : racks(unit, workers)) {
+		for (List<Worker> rack : racks(unit, candidates)) {
 			Optional<Map<TaskState, Worker>> found = fill(unit, rack, capacity);
 			if (found.isPresent()) {
 				return found;
@@ -79,6 +80,36 @@
 		return Optional.empty();
 	}
 
+	// A worker that is probed takes one run at a time, and no gang that the others could
+	// hold. Guaranteed work has a time limit of its own and does not wait for a probe.
+	private List<Worker> withoutProbed(WorkUnit unit, List<Worker> workers) {
+		long now = this.steadyMillis.getAsLong();
+		if (unit.guaranteed() || !anyProbed(workers, now)) {
+			return workers;
+		}
+		List<Worker> others = new ArrayList<>(workers.size());
+		for (Worker worker : workers) {
+			if (!worker.probeRuns(now) && !(unit.gang() && worker.health().unfitForGangs(now))) {
+				others.add(worker);
+			}
+		}
+		return (!unit.gang() || couldHoldAsWell(unit, others, workers)) ? others : workers;
+	}
+
+	private static boolean anyProbed(List<Worker> workers, long now) {
+		for (Worker worker : workers) {
+			if (worker.health().probed(now)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private boolean couldHoldAsWell(WorkUnit unit, List<Worker> others, List<Worker> workers) {
+		return TentativeCapacity.ofIdleWorkers().canPlaceAll(others, unit)
+				&& requiresOneRack(unit, others) == requiresOneRack(unit, workers);
+	}
+
 	/**
 	 * Groups workers by rack. The rack near the unit's data comes first, followed by the
 	 * other racks in the order of their free capacity, the least first.
@@ -128,8 +159,9 @@
 		}
 		List<WorkerChoice> choices = new ArrayList<>(workers.size());
 		ToDoubleFunction<Worker> crashLoss = crashLoss(unit);
+		long now = this.steadyMillis.getAsLong();
 		for (Worker worker : workers) {
-			choices.add(new WorkerChoice(worker, crashLoss.applyAsDouble(worker), worker.health().failedJobCount(),
+			choices.add(new WorkerChoice(worker, crashLoss.applyAsDouble(worker), worker.health().suspicion(now),
 					fitCost(worker, capacity.available(worker))));
 		}
 		choices.sort(WorkerChoice.ORDER);
@@ -165,12 +197,13 @@
 		Worker best = null;
 		double bestCost = Double.MAX_VALUE;
 		ToDoubleFunction<Worker> crashLoss = crashLoss(unit);
+		long now = this.steadyMillis.getAsLong();
 		for (Worker worker : workers) {
 			if (!capacity.canPlace(worker, unit)) {
 				continue;
 			}
 			double cost = fitCost(worker, capacity.available(worker).minus(unit.allocation()));
-			cost += remoteRackCost(dataRack, worker) + worker.health().failedJobCount() * FAILED_JOB_COST;
+			cost += remoteRackCost(dataRack, worker) + worker.health().suspicion(now) * SUSPICION_COST;
 			cost += crashLoss.applyAsDouble(worker) * CORE_SECOND_COST;
 			if (cost < bestCost) {
 				best = worker;
@@ -236,13 +269,13 @@
 	 * @param worker the worker
 	 * @param crashLoss the work that a suspect may lose there, in core-seconds; 0 for all
 	 * other units
-	 * @param failedJobs the number of jobs that failed there without a success in between
+	 * @param suspicion how much speaks against the worker
 	 * @param fitCost the capacity that stays free there
 	 */
-	private record WorkerChoice(Worker worker, double crashLoss, int failedJobs, double fitCost) {
+	private record WorkerChoice(Worker worker, double crashLoss, int suspicion, double fitCost) {
 
 		private static final Comparator<WorkerChoice> ORDER = Comparator.comparingDouble(WorkerChoice::crashLoss)
-			.thenComparingInt(WorkerChoice::failedJobs)
+			.thenComparingInt(WorkerChoice::suspicion)
 			.thenComparingDouble(WorkerChoice::fitCost);
 
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/RunLifecycle.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLifecycle.java
@@ -25,8 +25,15 @@
 
 	private final SchedulerState state;
 
+	private final WorkerHealthTracker workerHealth;
+
 	RunLifecycle(SchedulerState state) {
 		this.state = state;
+		this.workerHealth = new WorkerHealthTracker(state);
+	}
+
+	WorkerHealthTracker workerHealth() {
+		return this.workerHealth;
 	}
 
 	/**
@@ -88,7 +95,7 @@
 				Math.round(work.lostCoreSeconds()), "waitedCoreSeconds", Math.round(work.waitedCoreSeconds()));
 		account(work);
 		if (outcome.done()) {
-			run.worker().health().recordSuccess();
+			this.workerHealth.recordSuccess(run);
 			recordRunTime(run);
 			taskDone(step, task);
 		}
@@ -278,7 +285,7 @@
 	private void taskFailed(Run run) {
 		StepState step = run.task().step();
 		JobState job = step.job();
-		recordFailureOnWorker(run);
+		this.workerHealth.recordFailure(run);
 		if (step.spec().longRunning()) {
 			return;
 		}
@@ -287,14 +294,6 @@
 		failIfExhausted(job, run.task(), failures);
 	}
 
-	private void recordFailureOnWorker(Run run) {
-		if (this.state.has(SchedulerFeature.REST_SUSPICIOUS)
-				&& run.worker().health().recordFailure(this.state.steadyMillis(), run.task().step().job().id())) {
-			this.state.explain("worker-paused", "worker", run.worker().target(), "why",
-					"several jobs failed in a row on this worker");
-		}
-	}
-
 	// A new holder may receive the report of a failure before it has read the queue that
 	// sets the number of attempts. The job is checked once the queue is known.
 	private void failIfExhausted(JobState job, TaskState task, int failures) {
--- a/core/src/main/java/org/almondmount/workflow/impl/Worker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Worker.java
@@ -7,6 +7,7 @@
 import org.almondmount.workflow.ResourceAmount;
 import org.almondmount.workflow.WorkerDescription;
 import org.almondmount.workflow.WorkerIncarnation;
+import org.almondmount.workflow.health.EarlyAge;
 
 /**
  * One incarnation of a worker, with the runs that may be running there. Mutable; owned by
@@ -131,6 +132,19 @@
 		}
 	}
 
+	/**
+	 * Whether a run that may still fail right after its start probes this worker.
+	 * @param now the steady clock
+	 * @return whether the worker is probed, and a run there is young
+	 */
+	boolean probeRuns(long now) {
+		return this.health.probed(now) && this.runs.stream().anyMatch((run) -> isYoung(run, now));
+	}
+
+	private static boolean isYoung(Run run, long now) {
+		return run.workedMillis(now) <= EarlyAge.millis(run.task().step().expectedMillis());
+	}
+
 	/**
 	 * Puts a run of a suspect on probation. While it lasts, no tasks of other steps are
 	 * started on this worker, except guaranteed ones.
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerHealth.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerHealth.java
@@ -1,16 +1,20 @@
 package org.almondmount.workflow.impl;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
+import org.almondmount.workflow.health.WorkerEvidence;
+
 /**
  * Tracks whether failures are the fault of a worker. Mutable; owned by the scheduler.
  * <p>
  * A worker that fails every run looks free and would attract one job after the other,
- * each of which would lose one of its few attempts. Failures of two different jobs
- * without a success in between indicate a faulty worker, whereas failures of a single job
- * rather indicate a faulty job. A worker that looks faulty is paused for a while, and a
- * single attempt after the pause decides whether it is paused again.
+ * each of which would lose one of its few attempts. A worker that looks faulty is paused
+ * for a while, and a single attempt after the pause decides whether it is paused again.
+ * Either failures of two different jobs without a success in between indicate a faulty
+ * worker, or the evidence from early failures and sound starts does, as far as it is
+ * collected.
  */
 final class WorkerHealth {
 
@@ -28,15 +32,28 @@
 
 	private static final int MAX_DOUBLINGS = 2;
 
+	/**
+	 * Time in milliseconds after a pause for which gangs leave the first run to others.
+	 */
+	private static final long GANG_ABSENCE_MILLIS = 2_000;
+
 	private final Set<String> failedJobs = new HashSet<>();
 
+	private Optional<WorkerEvidence> evidence = Optional.empty();
+
 	private long pausedUntilMillis = Long.MIN_VALUE;
 
+	/** End of the last pause for failures that the evidence put down to the worker. */
+	private long blamedUntilMillis;
+
 	private int pauses;
 
 	private boolean proven;
 
+	private boolean probed;
+
 	void recordSuccess() {
+		this.evidence = Optional.empty();
 		this.failedJobs.clear();
 		this.pauses = 0;
 		this.proven = true;
@@ -49,16 +66,87 @@
 	 * @return whether the worker is paused from now on
 	 */
 	boolean recordFailure(long now, String job) {
+		this.evidence = Optional.empty();
 		this.failedJobs.add(job);
 		this.proven = false;
 		if (this.failedJobs.size() < MIN_FAILED_JOBS) {
 			return false;
 		}
+		pauseForFailures(now);
+		return true;
+	}
+
+	Optional<WorkerEvidence> evidence() {
+		return this.evidence;
+	}
+
+	/**
+	 * Judges the worker by evidence from now on, instead of by counts of failed jobs.
+	 * @param collected the evidence about the worker's incarnation
+	 */
+	void judgeBy(WorkerEvidence collected) {
+		this.evidence = Optional.of(collected);
+		this.failedJobs.clear();
+	}
+
+	/**
+	 * Pauses the worker because the evidence speaks against it. The first run afterwards
+	 * is a probe.
+	 * @param now the steady clock
+	 */
+	void blame(long now) {
+		pauseForFailures(now);
+		this.blamedUntilMillis = this.pausedUntilMillis;
+		this.probed = true;
+	}
+
+	private void pauseForFailures(long now) {
 		this.pausedUntilMillis = now + (FIRST_PAUSE_MILLIS << Math.min(this.pauses, MAX_DOUBLINGS));
 		this.pauses++;
+	}
+
+	/**
+	 * Ends the probe if a run has passed it.
+	 * @param startedMillis when a sound run started, by the steady clock
+	 * @return whether this was the probe
+	 */
+	boolean passProbe(long startedMillis) {
+		if (!this.probed || startedMillis < this.blamedUntilMillis) {
+			return false;
+		}
+		this.probed = false;
+		this.pauses = 0;
 		return true;
 	}
 
+	/**
+	 * Whether the next failure right after a start pauses the worker in any case.
+	 * @param now the steady clock
+	 * @return whether it was blamed, and no run has started well since
+	 */
+	boolean probed(long now) {
+		return this.probed && now >= this.blamedUntilMillis;
+	}
+
+	/**
+	 * Whether the worker is paused because the evidence speaks against it.
+	 * @param now the steady clock
+	 * @return whether its pause for failures lasts
+	 */
+	boolean blamed(long now) {
+		return this.probed && now < this.blamedUntilMillis;
+	}
+
+	/**
+	 * Whether gangs should use other workers, because the first run after a pause is a
+	 * probe and would risk the work of all members.
+	 * @param now the steady clock
+	 * @return whether it is probed and its pause has ended not long ago
+	 */
+	boolean unfitForGangs(long now) {
+		return probed(now) && now - this.blamedUntilMillis < GANG_ABSENCE_MILLIS;
+	}
+
 	// Used for reasons that are not the worker's fault, such as a refusal for lack of
 	// capacity.
 	void pauseUntil(long millis) {
@@ -72,18 +160,22 @@
 	/**
 	 * Whether the worker has recently shown that it completes what it starts.
 	 * @param now the steady clock
-	 * @return whether a run succeeded there after the last failure
+	 * @return whether a recent start was sound after the last failure; without evidence,
+	 * whether a run succeeded there after it
 	 */
 	boolean isProven(long now) {
-		return this.proven && usable(now);
+		boolean sound = this.evidence.map((known) -> known.isProven(now)).orElse(this.proven);
+		return sound && usable(now);
 	}
 
 	/**
-	 * Returns the number of different jobs that failed since the last success.
-	 * @return the number of jobs
+	 * Returns how much speaks against the worker.
+	 * @param now the steady clock
+	 * @return the suspicion in coarse steps; without evidence, the number of different
+	 * jobs that failed since the last success
 	 */
-	int failedJobCount() {
-		return this.failedJobs.size();
+	int suspicion(long now) {
+		return this.evidence.map((known) -> known.suspicion(now)).orElse(this.failedJobs.size());
 	}
 
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReportHandler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReportHandler.java
@@ -242,6 +242,7 @@
 			markGangWorking(run);
 		}
 		updateCrashRisk(run);
+		this.runLifecycle.workerHealth().recordWork(run);
 	}
 
 	// A service eventually experiences many crashes without being to blame.
