Blame for early failures: outbreaks, proofs since they began, probes

Change: an outbreak has a beginning, and a proof from before it is none; gangs prefer workers proven since. Retries and gangs leave the probe to other work. Each worker counts once in the fleet's share.

--- a/core/src/main/java/org/almondmount/workflow/health/FleetHealth.java
+++ b/core/src/main/java/org/almondmount/workflow/health/FleetHealth.java
@@ -18,13 +18,19 @@
 	/** Half-life of evidence: as long as workers usually stay faulty. */
 	static final HalfLife EVIDENCE_HALF_LIFE = new HalfLife(5_000);
 
+	/**
+	 * Time in milliseconds after the last failure that was put down to a worker until
+	 * which further workers may be faulty.
+	 */
+	private static final long OUTBREAK_MILLIS = 5_000;
+
 	/** Half-life of the learnt rate of early failures on sound workers. */
 	private static final HalfLife RATE_HALF_LIFE = new HalfLife(300_000);
 
 	/** Share of faulty workers that is assumed without evidence. */
 	private static final double USUAL_FAULTY_SHARE = 0.02;
 
-	/** Number of observed starts that weigh as much as the assumed share. */
+	/** Number of observed workers that weigh as much as the assumed share. */
 	private static final double USUAL_SHARE_WEIGHT = 10;
 
 	/** Share above which failures are no longer put down to the workers. */
@@ -41,9 +47,9 @@
 
 	private final Map<String, JobEvidence> jobs = new HashMap<>();
 
-	private final DecayingSum faultyStarts = new DecayingSum(EVIDENCE_HALF_LIFE);
+	private final DecayingSum faultyWorkers = new DecayingSum(EVIDENCE_HALF_LIFE);
 
-	private final DecayingSum soundStarts = new DecayingSum(EVIDENCE_HALF_LIFE);
+	private final DecayingSum soundWorkers = new DecayingSum(EVIDENCE_HALF_LIFE);
 
 	private final DecayingSum earlyFailuresOnSound = new DecayingSum(RATE_HALF_LIFE);
 
@@ -51,6 +57,10 @@
 
 	private int revision;
 
+	private long outbreakBeganMillis;
+
+	private long outbreakEndsMillis = Long.MIN_VALUE;
+
 	/**
 	 * Starts to collect evidence about one incarnation of a worker.
 	 * @param incarnation the incarnation
@@ -82,8 +92,8 @@
 	 * @return a share between 0 and 1
 	 */
 	public double faultyShare(long now) {
-		double faulty = this.faultyStarts.value(now) + USUAL_FAULTY_SHARE * USUAL_SHARE_WEIGHT;
-		double all = this.faultyStarts.value(now) + this.soundStarts.value(now) + USUAL_SHARE_WEIGHT;
+		double faulty = this.faultyWorkers.value(now) + USUAL_FAULTY_SHARE * USUAL_SHARE_WEIGHT;
+		double all = this.faultyWorkers.value(now) + this.soundWorkers.value(now) + USUAL_SHARE_WEIGHT;
 		return Math.min(MAX_FAULTY_SHARE, faulty / all);
 	}
 
@@ -110,9 +120,32 @@
 		return this.jobs.computeIfAbsent(id, (unknown) -> new JobEvidence(this));
 	}
 
-	void countSoundStart(long now) {
+	/**
+	 * Whether workers are failing runs now, so that an earlier proof is none.
+	 * @param now the steady clock
+	 * @return whether a failure was put down to a worker not long ago
+	 */
+	boolean inOutbreak(long now) {
+		return now < this.outbreakEndsMillis;
+	}
+
+	/**
+	 * Returns since when workers have been failing runs.
+	 * @return the time of the first failure of the last outbreak
+	 */
+	long outbreakBeganMillis() {
+		return this.outbreakBeganMillis;
+	}
+
+	/**
+	 * Counts a sound start.
+	 * @param now the steady clock
+	 * @param lastStartMillis when the worker's sound start before this one was, so that
+	 * each worker counts once
+	 */
+	void countSoundStart(long now, long lastStartMillis) {
 		this.revision++;
-		this.soundStarts.add(now, 1);
+		this.soundWorkers.add(now, 1 - EVIDENCE_HALF_LIFE.remaining(now - lastStartMillis));
 		this.startsOnSound.add(now, 1);
 	}
 
@@ -124,9 +157,15 @@
 	 */
 	void countEarlyFailure(long now, double before, double after) {
 		this.revision++;
-		this.faultyStarts.add(now, Math.max(0, after - before));
-		this.soundStarts.add(now, 1 - after);
+		this.faultyWorkers.add(now, Math.max(0, after - before));
 		this.earlyFailuresOnSound.add(now, 1 - after);
 	}
 
+	void recordOutbreak(long now) {
+		if (!inOutbreak(now)) {
+			this.outbreakBeganMillis = now;
+		}
+		this.outbreakEndsMillis = now + OUTBREAK_MILLIS;
+	}
+
 }
--- a/core/src/main/java/org/almondmount/workflow/health/WorkerEvidence.java
+++ b/core/src/main/java/org/almondmount/workflow/health/WorkerEvidence.java
@@ -68,6 +68,9 @@
 		this.failedJobs.add(evidence);
 		this.lastFailureMillis = now;
 		this.fleet.countEarlyFailure(now, before, probability(now));
+		if (isFaulty(now)) {
+			this.fleet.recordOutbreak(now);
+		}
 	}
 
 	/**
@@ -80,9 +83,9 @@
 		if (startedMillis <= Math.max(this.lastFailureMillis, this.lastSoundStartMillis)) {
 			return;
 		}
+		this.fleet.countSoundStart(now, this.lastSoundStartMillis);
 		this.lastSoundStartMillis = startedMillis;
 		this.failedJobs.clear();
-		this.fleet.countSoundStart(now);
 	}
 
 	/**
@@ -145,11 +148,23 @@
 	/**
 	 * Whether a start has recently shown that the worker is sound.
 	 * @param now the steady clock
-	 * @return whether a recent start was sound, and none has failed early since
+	 * @return whether a recent start was sound, none has failed early since, and no
+	 * outbreak of failures has begun since
 	 */
 	public boolean isProven(long now) {
 		return this.lastSoundStartMillis > this.lastFailureMillis
-				&& now - this.lastSoundStartMillis <= PROOF_VALIDITY_MILLIS;
+				&& now - this.lastSoundStartMillis <= PROOF_VALIDITY_MILLIS
+				&& !(this.fleet.inOutbreak(now) && this.lastSoundStartMillis < this.fleet.outbreakBeganMillis());
+	}
+
+	/**
+	 * Whether a gang, which loses the work of all members with one of them, should rather
+	 * use other workers.
+	 * @param now the steady clock
+	 * @return whether workers are failing runs now, and this one is not proven since
+	 */
+	public boolean isRiskyForGangs(long now) {
+		return this.fleet.inOutbreak(now) && !isProven(now);
 	}
 
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/Placer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -80,20 +80,23 @@
 		return Optional.empty();
 	}
 
-	// A worker that is probed takes one run at a time, and no gang that the others could
-	// hold. Guaranteed work has a time limit of its own and does not wait for a probe.
+	// A worker that is probed takes one run at a time, and no gang or retry that the
+	// others could hold. Guaranteed work has a time limit of its own and does not wait
+	// for
+	// a probe.
 	private List<Worker> withoutProbed(WorkUnit unit, List<Worker> workers) {
 		long now = this.steadyMillis.getAsLong();
 		if (unit.guaranteed() || !anyProbed(workers, now)) {
 			return workers;
 		}
+		boolean cautious = unit.gang() || unit.firstTask().failures() > 0;
 		List<Worker> others = new ArrayList<>(workers.size());
 		for (Worker worker : workers) {
-			if (!worker.probeRuns(now) && !(unit.gang() && worker.health().unfitForGangs(now))) {
+			if (!worker.probeRuns(now) && !(cautious && worker.health().awaitsProbe(now))) {
 				others.add(worker);
 			}
 		}
-		return (!unit.gang() || couldHoldAsWell(unit, others, workers)) ? others : workers;
+		return (!cautious || couldHoldAsWell(unit, others, workers)) ? others : workers;
 	}
 
 	private static boolean anyProbed(List<Worker> workers, long now) {
@@ -161,7 +164,7 @@
 		ToDoubleFunction<Worker> crashLoss = crashLoss(unit);
 		long now = this.steadyMillis.getAsLong();
 		for (Worker worker : workers) {
-			choices.add(new WorkerChoice(worker, crashLoss.applyAsDouble(worker), worker.health().suspicion(now),
+			choices.add(new WorkerChoice(worker, crashLoss.applyAsDouble(worker), worker.health().gangSuspicion(now),
 					fitCost(worker, capacity.available(worker))));
 		}
 		choices.sort(WorkerChoice.ORDER);
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerHealth.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerHealth.java
@@ -33,9 +33,10 @@
 	private static final int MAX_DOUBLINGS = 2;
 
 	/**
-	 * Time in milliseconds after a pause for which gangs leave the first run to others.
+	 * Time in milliseconds after a pause for which gangs and retries leave the first run
+	 * to other work.
 	 */
-	private static final long GANG_ABSENCE_MILLIS = 2_000;
+	private static final long PROBE_WAIT_MILLIS = 2_000;
 
 	private final Set<String> failedJobs = new HashSet<>();
 
@@ -105,6 +106,15 @@
 		this.pauses++;
 	}
 
+	/**
+	 * Returns how long the worker stays paused.
+	 * @param now the steady clock
+	 * @return milliseconds, 0 if it is not paused
+	 */
+	long pauseMillis(long now) {
+		return Math.max(0, this.pausedUntilMillis - now);
+	}
+
 	/**
 	 * Ends the probe if a run has passed it.
 	 * @param startedMillis when a sound run started, by the steady clock
@@ -138,13 +148,13 @@
 	}
 
 	/**
-	 * Whether gangs should use other workers, because the first run after a pause is a
-	 * probe and would risk the work of all members.
+	 * Whether gangs and retries should use other workers, because the first run after a
+	 * pause is a probe: it risks the work of all members, or one more attempt.
 	 * @param now the steady clock
 	 * @return whether it is probed and its pause has ended not long ago
 	 */
-	boolean unfitForGangs(long now) {
-		return probed(now) && now - this.blamedUntilMillis < GANG_ABSENCE_MILLIS;
+	boolean awaitsProbe(long now) {
+		return probed(now) && now - this.blamedUntilMillis < PROBE_WAIT_MILLIS;
 	}
 
 	// Used for reasons that are not the worker's fault, such as a refusal for lack of
@@ -178,4 +188,14 @@
 		return this.evidence.map((known) -> known.suspicion(now)).orElse(this.failedJobs.size());
 	}
 
+	/**
+	 * Returns how much speaks against placing a member of a gang on the worker.
+	 * @param now the steady clock
+	 * @return the suspicion, more if the worker is not proven while others fail runs
+	 */
+	int gangSuspicion(long now) {
+		boolean risky = this.evidence.map((known) -> known.isRiskyForGangs(now)).orElse(false);
+		return suspicion(now) + (risky ? 1 : 0);
+	}
+
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerHealthTracker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerHealthTracker.java
@@ -123,7 +123,7 @@
 		this.state.explain("worker-paused", "worker", run.worker().target(), "why",
 				"runs fail right after their start on this worker", "job", run.task().step().job().id(),
 				"probablyFaultyPercent", percent(evidence.probability(now)), "ageMillis", run.workedMillis(now),
-				"fleetFaultyPercent", percent(fleet().faultyShare(now)));
+				"fleetFaultyPercent", percent(fleet().faultyShare(now)), "pauseMillis", health.pauseMillis(now));
 	}
 
 	private void recordSoundStart(Run run) {
