Blame for early failures: probes, restored failures and a changed configuration

Cause: found in review. A job that fails wherever it starts would fail each probe and pause a sound worker again; failures restored before the configuration is known were dropped; a worker stayed probed after the feature was switched off.

Change: a probe that fails pauses its worker only while something speaks against the worker; restored failures are kept until workers are judged by them; counts of failed jobs forget the evidence. The prior is computed once per time.

--- a/core/src/main/java/org/almondmount/workflow/health/FleetHealth.java
+++ b/core/src/main/java/org/almondmount/workflow/health/FleetHealth.java
@@ -57,6 +57,13 @@
 
 	private int revision;
 
+	private double priorLogOdds;
+
+	private long priorMillis = Long.MIN_VALUE;
+
+	/** The revision that the prior rests on. */
+	private int priorRevision;
+
 	private long outbreakBeganMillis;
 
 	private long outbreakEndsMillis = Long.MIN_VALUE;
@@ -97,6 +104,21 @@
 		return Math.min(MAX_FAULTY_SHARE, faulty / all);
 	}
 
+	/**
+	 * Returns how probably a worker is faulty of which nothing is known. Cached, because
+	 * all workers are judged by it.
+	 * @param now the steady clock
+	 * @return the logarithm of the odds
+	 */
+	double priorLogOdds(long now) {
+		if (this.priorMillis != now || this.priorRevision != this.revision) {
+			this.priorLogOdds = JobEvidence.logOdds(faultyShare(now));
+			this.priorMillis = now;
+			this.priorRevision = this.revision;
+		}
+		return this.priorLogOdds;
+	}
+
 	/**
 	 * Returns the probability that a run of a sound job fails early on a sound worker.
 	 * @param now the steady clock
--- a/core/src/main/java/org/almondmount/workflow/health/WorkerEvidence.java
+++ b/core/src/main/java/org/almondmount/workflow/health/WorkerEvidence.java
@@ -110,7 +110,7 @@
 
 	private double probability(long now, ToDoubleFunction<JobEvidence> weightAgainst) {
 		double proof = FleetHealth.EVIDENCE_HALF_LIFE.remaining(now - this.lastSoundStartMillis);
-		double logOdds = JobEvidence.logOdds(this.fleet.faultyShare(now)) + proof * Math.log(ODDS_AFTER_SOUND_START);
+		double logOdds = this.fleet.priorLogOdds(now) + proof * Math.log(ODDS_AFTER_SOUND_START);
 		return JobEvidence.probability(logOdds + this.failedJobs.stream().mapToDouble(weightAgainst).sum());
 	}
 
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerHealth.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerHealth.java
@@ -54,7 +54,7 @@
 	private boolean probed;
 
 	void recordSuccess() {
-		this.evidence = Optional.empty();
+		forgetEvidence();
 		this.failedJobs.clear();
 		this.pauses = 0;
 		this.proven = true;
@@ -67,7 +67,7 @@
 	 * @return whether the worker is paused from now on
 	 */
 	boolean recordFailure(long now, String job) {
-		this.evidence = Optional.empty();
+		forgetEvidence();
 		this.failedJobs.add(job);
 		this.proven = false;
 		if (this.failedJobs.size() < MIN_FAILED_JOBS) {
@@ -77,6 +77,12 @@
 		return true;
 	}
 
+	// The configuration may stop to call for evidence at any time.
+	private void forgetEvidence() {
+		this.evidence = Optional.empty();
+		this.probed = false;
+	}
+
 	Optional<WorkerEvidence> evidence() {
 		return this.evidence;
 	}
@@ -130,9 +136,9 @@
 	}
 
 	/**
-	 * Whether the next failure right after a start pauses the worker in any case.
+	 * Whether the next run decides if the worker is paused again.
 	 * @param now the steady clock
-	 * @return whether it was blamed, and no run has started well since
+	 * @return whether its pause is over, and no run has outlived the early age since
 	 */
 	boolean probed(long now) {
 		return this.probed && now >= this.blamedUntilMillis;
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerHealthTracker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerHealthTracker.java
@@ -35,14 +35,12 @@
 	}
 
 	/**
-	 * Restores the failures of a job, which its record contains.
+	 * Restores the failures of a job, which its record contains. The configuration may
+	 * not be known yet, so they are kept until a worker is judged by them.
 	 * @param step the step whose tasks failed
 	 * @param failures the failures
 	 */
 	void restore(StepState step, List<FailedAttempt> failures) {
-		if (!collectsEvidence()) {
-			return;
-		}
 		for (FailedAttempt failure : failures) {
 			fleet().restore(this.state.steadyMillis(), step.job().id(), failure, step.spec().estimateMillis());
 		}
@@ -50,8 +48,8 @@
 
 	/**
 	 * Judges a worker by the evidence about its incarnation, which may contain restored
-	 * failures.
-	 * @param worker a worker that is in contact for the first time
+	 * failures. Has no effect if it is judged so already.
+	 * @param worker a worker in contact
 	 */
 	void adopt(Worker worker) {
 		if (collectsEvidence()) {
@@ -114,7 +112,7 @@
 		WorkerHealth health = run.worker().health();
 		WorkerEvidence evidence = evidence(run.worker());
 		evidence.recordEarlyFailure(now, run.task().step().job().id());
-		boolean faulty = health.probed(now) || evidence.isFaulty(now);
+		boolean faulty = health.probed(now) ? evidence.suspicion(now) > 0 : evidence.isFaulty(now);
 		if (!faulty || health.blamed(now) || !leavesEnoughWorkers()) {
 			return;
 		}
@@ -158,7 +156,7 @@
 	}
 
 	private boolean startedInThisTerm(Run run) {
-		return run.epoch() == this.state.epoch();
+		return run.epoch() == this.state.epoch() && run.state() != Run.State.INHERITED;
 	}
 
 	private boolean collectsEvidence() {
