--- a/core/src/main/java/org/almondmount/workflow/impl/PendingUnits.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PendingUnits.java
@@ -21,14 +21,15 @@
 	/**
 	 * Guaranteed work comes first, and work that is of no more use comes last. In
 	 * between, units are ordered by the priority of their queue; within a queue, units
-	 * that can be in time come first, and among these the unit with the earliest latest
-	 * start.
+	 * that can be in time come first. Units that this order treats alike form a group.
 	 */
-	private static final Comparator<WorkUnit> ORDER = Comparator.comparing((WorkUnit unit) -> !unit.guaranteed())
+	static final Comparator<WorkUnit> GROUP_ORDER = Comparator.comparing((WorkUnit unit) -> !unit.guaranteed())
 		.thenComparing((unit) -> unit.deadline().timeliness().waitsBehindAll())
 		.thenComparingInt((unit) -> unit.queue().priority())
-		.thenComparing((unit) -> !unit.deadline().timeliness().earliestFirst())
-		.thenComparingDouble(PendingUnits::rankWithinQueue);
+		.thenComparing((unit) -> !unit.deadline().timeliness().earliestFirst());
+
+	/** Within a group, the unit with the earliest latest start or the least work. */
+	private static final Comparator<WorkUnit> ORDER = GROUP_ORDER.thenComparingDouble(PendingUnits::rankWithinQueue);
 
 	private final SchedulerState state;
 
