--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -126,7 +126,8 @@
 		overtaker.or(() -> customerHoldingOff(unit)).ifPresent((other) -> this.sharing.explainWait(unit, other));
 		Optional<ReservationScope> scope = claimReservation(unit);
 		scope.ifPresent((claimed) -> reserve(unit, claimed));
-		if (!scope.equals(Optional.of(ReservationScope.ALL)) && !unit.guaranteed()) {
+		boolean nextTaskMayReserve = scope.filter(ReservationScope.ALL::equals).isPresent();
+		if (!nextTaskMayReserve && !unit.guaranteed()) {
 			this.unplaceableSteps.add(unit.step());
 		}
 	}
@@ -162,8 +163,8 @@
 		});
 	}
 
-	// The search is repeated without the further reservations, only as often as there may
-	// be a line about it.
+	// Whether a unit would fit but for a reservation of a customer below its entitlement
+	// is known only from a second search. It is made only while a log line is due.
 	private Optional<String> customerHoldingOff(WorkUnit unit) {
 		if (!this.sharing.isWaitLineDue(unit)) {
 			return Optional.empty();
--- a/core/src/test/java/org/almondmount/workflow/ContentionReplay.java
+++ b/core/src/test/java/org/almondmount/workflow/ContentionReplay.java
@@ -12,8 +12,8 @@
 import org.almondmount.workflow.impl.DefaultWorkflowScheduler;
 
 /**
- * Replays jobs in virtual time on a fleet of workers with eight accelerators, seven a
- * rack. The scheduler sees callers' estimates; runs take their true time.
+ * Replays jobs in virtual time on workers with eight accelerators, seven workers a rack.
+ * The scheduler sees callers' estimates; runs take their true time.
  */
 final class ContentionReplay {
 
@@ -21,27 +21,23 @@
 
 	private static final long REPORT_MILLIS = 500;
 
-	private static final int RACK_SIZE = 7;
+	final List<WorkflowCommand> commands = new ArrayList<>();
 
 	private final WorkflowScheduler scheduler;
 
 	private final int workers;
 
-	private final Map<String, Map<TaskId, PlayedRun>> running = new HashMap<>();
+	private final Map<String, List<PlayedRun>> running = new HashMap<>();
 
 	private final Map<String, List<WorkerReport.Ended>> ends = new HashMap<>();
 
-	private final Map<String, Long> accepted = new HashMap<>();
+	private final Map<String, Arrival> jobs = new HashMap<>();
 
 	private final Map<String, Long> started = new HashMap<>();
 
 	private final Map<String, Long> completed = new HashMap<>();
 
-	private final Map<String, Arrival> arrivals = new HashMap<>();
-
-	final List<WorkflowCommand> commands = new ArrayList<>();
-
-	private long now = 100_000;
+	private long now;
 
 	private long lastEnd;
 
@@ -52,78 +48,55 @@
 		handle(new WorkflowEvent.TermBegan(1, List.of()));
 	}
 
-	/**
-	 * Plays the jobs for the given time or until all are completed, and returns what each
-	 * customer got.
-	 */
-	Map<String, Served> play(List<Arrival> jobs, long millis) {
-		long begin = this.now;
-		jobs.forEach((arrival) -> this.arrivals.put(arrival.id(), arrival));
-		for (; this.now < begin + millis && this.completed.size() < jobs.size(); this.now += STEP_MILLIS) {
-			for (Arrival arrival : jobs) {
-				if (begin + arrival.atMillis() == this.now) {
-					this.accepted.put(arrival.id(), this.now);
-					handle(new WorkflowEvent.JobAccepted(arrival.workflow(this.now)));
-				}
-			}
+	/** Plays the jobs until all are completed or the time is over. */
+	Map<String, Served> play(List<Arrival> arrivals, long millis) {
+		arrivals.forEach((arrival) -> this.jobs.put(arrival.id(), arrival));
+		for (; this.now < millis && this.completed.size() < arrivals.size(); this.now += STEP_MILLIS) {
+			arrivals.stream()
+				.filter((arrival) -> arrival.atMillis() == this.now)
+				.forEach((arrival) -> handle(new WorkflowEvent.JobAccepted(arrival.workflow())));
 			for (int worker = 0; worker < this.workers; worker++) {
-				report(worker);
+				report("t" + worker, worker);
 			}
 			handle(new WorkflowEvent.Tick());
 			handle(new WorkflowEvent.PlacementDue());
-			this.arrivals.keySet()
-				.stream()
-				.filter((id) -> this.scheduler.phase(id).equals(Optional.of(JobPhase.COMPLETED)))
-				.forEach((id) -> this.completed.putIfAbsent(id, this.now));
+			for (String job : this.started.keySet()) {
+				if (this.scheduler.phase(job).equals(Optional.of(JobPhase.COMPLETED))) {
+					this.completed.putIfAbsent(job, this.now);
+				}
+			}
 		}
 		Map<String, Served> served = new TreeMap<>();
-		jobs.forEach((arrival) -> served.merge(arrival.customer(), outcome(arrival), Served::plus));
+		arrivals.forEach((arrival) -> served.merge(arrival.customer(), outcome(arrival), Served::plus));
 		return served;
 	}
 
 	long waitedMillis(String job) {
-		return this.started.getOrDefault(job, this.now) - this.accepted.get(job);
+		return this.started.getOrDefault(job, this.now) - this.jobs.get(job).atMillis();
 	}
 
 	private Served outcome(Arrival arrival) {
-		long taken = this.completed.getOrDefault(arrival.id(), Long.MAX_VALUE) - this.accepted.get(arrival.id());
 		long objective = 3 * arrival.trueMillis() + 1_000;
+		long taken = this.completed.getOrDefault(arrival.id(), Long.MAX_VALUE) - arrival.atMillis();
 		boolean lost = taken > 3 * objective;
 		boolean late = !lost && taken > objective;
-		return new Served((lost || late) ? 0 : 1, late ? 1 : 0, lost ? 1 : 0, waitedMillis(arrival.id()));
+		return new Served((lost || late) ? 0 : 1, late ? 1 : 0, lost ? 1 : 0);
 	}
 
-	private void report(int worker) {
-		String target = "t" + worker;
+	private void report(String target, int worker) {
+		List<PlayedRun> runs = this.running.computeIfAbsent(target, (key) -> new ArrayList<>());
 		List<WorkerReport.Ended> ended = this.ends.computeIfAbsent(target, (key) -> new ArrayList<>());
-		List<WorkerReport.Running> still = new ArrayList<>();
-		for (PlayedRun run : List.copyOf(runs(target).values())) {
-			if (run.endsAt() <= this.now) {
-				end(target, run.task(), run.run(), RunOutcome.DONE);
-			}
-			else {
-				still.add(new WorkerReport.Running(run.task(), run.run(), "", run.percent(this.now)));
-			}
-		}
+		runs.stream().filter((run) -> run.end <= this.now).forEach((run) -> ended.add(run.ended(++this.lastEnd)));
+		runs.removeIf((run) -> run.end <= this.now);
 		if (!ended.isEmpty() || this.now % REPORT_MILLIS == 0) {
 			WorkerDescription description = new WorkerDescription(new WorkerIncarnation("w" + worker, 1), "pool", "z",
-					Set.of("r1-" + worker / RACK_SIZE), SchedulerFixture.CAPACITY, false, 0);
-			handle(new WorkflowEvent.WorkerReported(
-					new WorkerReport(target, description, 1, still, List.copyOf(ended))));
+					Set.of("r1-" + worker / 7), SchedulerFixture.CAPACITY, false, 0);
+			handle(new WorkflowEvent.WorkerReported(new WorkerReport(target, description, 1,
+					runs.stream().map((run) -> run.running(this.now)).toList(), List.copyOf(ended))));
 			ended.clear();
 		}
 	}
 
-	private Map<TaskId, PlayedRun> runs(String target) {
-		return this.running.computeIfAbsent(target, (key) -> new HashMap<>());
-	}
-
-	private void end(String target, TaskId task, int run, RunOutcome outcome) {
-		runs(target).remove(task);
-		this.ends.computeIfAbsent(target, (key) -> new ArrayList<>())
-			.add(new WorkerReport.Ended(++this.lastEnd, task, run, outcome, ""));
-	}
-
 	private void handle(WorkflowEvent event) {
 		for (WorkflowCommand command : this.scheduler.handle(new ClockReading(this.now, this.now), event)) {
 			this.commands.add(command);
@@ -131,12 +104,16 @@
 				handle(new WorkflowEvent.Persisted(persist.sequence()));
 			}
 			else if (command instanceof WorkflowCommand.StartRun start) {
-				long end = this.now + this.arrivals.get(start.task().job()).trueMillis();
-				runs(start.target()).put(start.task(), new PlayedRun(start.task(), start.run(), this.now, end));
-				this.started.putIfAbsent(start.task().job(), this.now);
+				String job = start.task().job();
+				this.running.get(start.target())
+					.add(new PlayedRun(start.task(), start.run(), this.now,
+							this.now + this.jobs.get(job).trueMillis()));
+				this.started.putIfAbsent(job, this.now);
 			}
 			else if (command instanceof WorkflowCommand.StopRun stop) {
-				end(stop.target(), stop.task(), stop.run(), RunOutcome.STOPPED);
+				this.running.get(stop.target()).removeIf((run) -> run.task.equals(stop.task()));
+				this.ends.get(stop.target())
+					.add(new WorkerReport.Ended(++this.lastEnd, stop.task(), stop.run(), RunOutcome.STOPPED, ""));
 			}
 		}
 	}
@@ -144,35 +121,35 @@
 	/** A job with its true run time. */
 	record Arrival(long atMillis, String id, String customer, int priority, Step step, long trueMillis) {
 
-		Workflow workflow(long acceptedAtMillis) {
+		Workflow workflow() {
 			return new Workflow(this.id, "q" + this.priority, this.customer, "p", List.of(this.step),
-					Workflow.Schedule.ONCE, acceptedAtMillis);
+					Workflow.Schedule.ONCE, this.atMillis);
 		}
 
 	}
 
 	/** What a customer got: jobs in time, late but useful, and of no use. */
-	record Served(int inTime, int late, int lost, long longestWaitMillis) {
+	record Served(int inTime, int late, int lost) {
 
 		int missed() {
 			return this.late + this.lost;
 		}
 
-		int all() {
-			return this.inTime + missed();
-		}
-
 		Served plus(Served other) {
-			return new Served(this.inTime + other.inTime, this.late + other.late, this.lost + other.lost,
-					Math.max(this.longestWaitMillis, other.longestWaitMillis));
+			return new Served(this.inTime + other.inTime, this.late + other.late, this.lost + other.lost);
 		}
 
 	}
 
-	private record PlayedRun(TaskId task, int run, long startedAt, long endsAt) {
+	private record PlayedRun(TaskId task, int run, long start, long end) {
+
+		WorkerReport.Running running(long now) {
+			return new WorkerReport.Running(this.task, this.run, "",
+					(int) (100 * (now - this.start) / (this.end - this.start)));
+		}
 
-		int percent(long now) {
-			return (int) (100 * (now - this.startedAt) / (this.endsAt - this.startedAt));
+		WorkerReport.Ended ended(long sequence) {
+			return new WorkerReport.Ended(sequence, this.task, this.run, RunOutcome.DONE, "");
 		}
 
 	}
--- a/core/src/test/java/org/almondmount/workflow/SharingRulesTests.java
+++ b/core/src/test/java/org/almondmount/workflow/SharingRulesTests.java
@@ -95,9 +95,8 @@
 
 	private List<String> jobsStartedOnASecondWorker() {
 		this.commands.clear();
-		long epoch = 2;
 		feed(new WorkflowEvent.WorkerReported(
-				new WorkerReport("t1", description(1, 1, false), epoch, List.of(), List.of())));
+				new WorkerReport("t1", description(1, 1, false), 2, List.of(), List.of())));
 		return startsAfterPersisting(this.commands).stream().map((start) -> start.task().job()).toList();
 	}
 
--- a/core/src/test/java/org/almondmount/workflow/SharingUnderContentionTests.java
+++ b/core/src/test/java/org/almondmount/workflow/SharingUnderContentionTests.java
@@ -26,8 +26,6 @@
 
 	private static final int SEEDS = 12;
 
-	private static final double LATE_BUT_USEFUL = 0.9;
-
 	// Gangs of whole workers of the largest customer, c0, compete with hundreds of small
 	// tasks of c1 and with c2, both above their entitlement for most of the time.
 	@Test
@@ -35,15 +33,15 @@
 		Map<String, Served> off = new TreeMap<>();
 		Map<String, Served> on = new TreeMap<>();
 		for (long seed = 1; seed <= SEEDS; seed++) {
-			play(load(new Random(seed)), false)
+			replay(false, WORKERS, GUARANTEES).play(load(seed), 120_000)
 				.forEach((customer, served) -> off.merge(customer, served, Served::plus));
-			play(load(new Random(seed)), true).forEach((customer, served) -> on.merge(customer, served, Served::plus));
+			replay(true, WORKERS, GUARANTEES).play(load(seed), 120_000)
+				.forEach((customer, served) -> on.merge(customer, served, Served::plus));
 		}
 		assertThat(missed(on)).isLessThan(missed(off));
 		assertThat(on.get("c0").missed()).isLessThanOrEqualTo(off.get("c0").missed());
 		assertThat(on.get("c0").lost()).isZero();
-		assertThat(on).allSatisfy((customer, served) -> assertThat(served.lost())
-			.isLessThanOrEqualTo((int) (served.all() * (1 - LATE_BUT_USEFUL))));
+		assertThat(on.values()).allMatch((served) -> served.lost() * 10 <= served.inTime() + served.missed());
 	}
 
 	// c1 asks for four times its entitlement, the others for theirs. They must not be
@@ -62,7 +60,7 @@
 	@Test
 	void burstInsideAGuaranteeStartsWithinASecondWithAndWithoutShares() {
 		for (boolean sharing : new boolean[] { true, false }) {
-			List<Arrival> jobs = new ArrayList<>(load(new Random(1)));
+			List<Arrival> jobs = new ArrayList<>(load(1));
 			for (int number = 0; number < 3; number++) {
 				jobs.add(new Arrival(25_000, "u" + number, "c0", 0, step(5, 8, 52, true, 5_000), 5_000));
 			}
@@ -76,8 +74,8 @@
 	void evenGuaranteesLeaveAllCommandsAsTheyWere() {
 		ContentionReplay off = replay(false, WORKERS, 30, 30, 30);
 		ContentionReplay on = replay(true, WORKERS, 30, 30, 30);
-		off.play(load(new Random(1)), 40_000);
-		on.play(load(new Random(1)), 40_000);
+		off.play(load(1), 40_000);
+		on.play(load(1), 40_000);
 		assertThat(on.commands).isEqualTo(off.commands);
 	}
 
@@ -85,10 +83,6 @@
 		return served.values().stream().mapToInt(Served::missed).sum();
 	}
 
-	private static Map<String, Served> play(List<Arrival> jobs, boolean sharing) {
-		return replay(sharing, WORKERS, GUARANTEES).play(jobs, 120_000);
-	}
-
 	private static ContentionReplay replay(boolean sharing, int workers, long... guarantees) {
 		SchedulerPolicy policy = sharing ? SchedulerPolicy.DEFAULT
 				: SchedulerPolicy.DEFAULT.without(SchedulerFeature.SHARE_BETWEEN_CUSTOMERS);
@@ -102,23 +96,24 @@
 		return new ContentionReplay(policy, new FleetConfiguration(1, queues, List.of("pool"), customers), workers);
 	}
 
-	private static List<Arrival> load(Random random) {
+	private static List<Arrival> load(long seed) {
+		Random random = new Random(seed);
 		List<Arrival> jobs = new ArrayList<>();
 		for (long at = 2_000; at < 36_000; at += 100) {
 			double load = (at > 10_000 && at < 32_000) ? 1 : 0.3;
 			if (random.nextDouble() < 0.076 * load) {
-				jobs.add(job(random, at, 0, 1, 7_000, step(3 + random.nextInt(8), 8, 52, true, 0)));
+				jobs.add(job(random, at, 0, 1, step(3 + random.nextInt(8), 8, 52, true, 7_000)));
 			}
 			if (random.nextDouble() < 0.027 * load) {
-				jobs.add(job(random, at, 1, 2, 9_000, step(39 + random.nextInt(192), 1, 4, false, 0)));
+				jobs.add(job(random, at, 1, 2, step(39 + random.nextInt(192), 1, 4, false, 9_000)));
 			}
 			if (random.nextDouble() < 0.07 * load) {
-				jobs.add(job(random, at, 2, 1, 8_000, step(10 + random.nextInt(20), 2, 8, false, 0)));
+				jobs.add(job(random, at, 2, 1, step(10 + random.nextInt(20), 2, 8, false, 8_000)));
 			}
 			for (int customer = 3; customer < GUARANTEES.length; customer++) {
 				if (random.nextDouble() < 0.02) {
-					jobs.add(job(random, at, customer, random.nextInt(3), 4_000,
-							step(1 + random.nextInt(6), 1 + random.nextInt(4), 8, random.nextBoolean(), 0)));
+					Step step = step(1 + random.nextInt(6), 1 + random.nextInt(4), 8, random.nextBoolean(), 4_000);
+					jobs.add(job(random, at, customer, random.nextInt(3), step));
 				}
 			}
 		}
@@ -136,12 +131,11 @@
 		return jobs;
 	}
 
-	private static Arrival job(Random random, long at, int customer, int priority, long millis, Step step) {
-		long trueMillis = (long) (millis * Math.exp(0.3 * random.nextGaussian()));
-		long estimate = (long) (trueMillis * Math.exp(random.nextGaussian()));
-		Step estimated = step(step.taskCount(), step.demand().accelerators(), step.demand().cpuMillis() / 1_000,
-				step.gangScheduled(), estimate);
-		return new Arrival(at, "j" + at + "-" + customer, "c" + customer, priority, estimated, trueMillis);
+	private static Arrival job(Random random, long at, int customer, int priority, Step usual) {
+		long trueMillis = (long) (usual.estimateMillis() * Math.exp(0.3 * random.nextGaussian()));
+		Step step = step(usual.taskCount(), usual.demand().accelerators(), usual.demand().cpuMillis() / 1_000,
+				usual.gangScheduled(), (long) (trueMillis * Math.exp(random.nextGaussian())));
+		return new Arrival(at, "j" + at + "-" + customer, "c" + customer, priority, step, trueMillis);
 	}
 
 	private static Step step(int tasks, long accelerators, long cores, boolean gang, long estimateMillis) {
--- a/core/src/test/java/org/almondmount/workflow/impl/ReservationTests.java
+++ b/core/src/test/java/org/almondmount/workflow/impl/ReservationTests.java
@@ -58,6 +58,18 @@
 		assertThat(reservations.wouldReserveTooMuch(unit(1_000, false))).isTrue();
 	}
 
+	@Test
+	void eachCustomerBelowItsEntitlementClaimsOneReservationBesideTheFirstTwo() {
+		Reservations reservations = new Reservations();
+		for (int count = 0; count < 2; count++) {
+			assertThat(reservations.claim(unit(1_000, false), ABOVE)).contains(ReservationScope.ALL);
+			reservations.add(plan(unit(1_000, false)));
+		}
+		assertThat(reservations.claim(unit(1_000, "another"), ABOVE)).isEmpty();
+		assertThat(reservations.claim(unit(1_000, "another"), BELOW)).contains(ReservationScope.ABOVE_ENTITLEMENT);
+		assertThat(reservations.claim(unit(1_000, "another"), BELOW)).isEmpty();
+	}
+
 	private Reservation plan(WorkUnit unit, Reservation... earlier) {
 		return Reservation.earliest(0, unit, List.of(this.workers), List.of(earlier)).orElseThrow();
 	}
@@ -67,21 +79,28 @@
 		Worker worker = new Worker("t" + millis, incarnation, 0);
 		worker.describe(0,
 				new WorkerDescription(incarnation, "pool", "z", Set.of(), new ResourceAmount(8_000, 8, 8), false, 0));
-		worker.add(new Run(step(millis).tasks().get(0), 1, worker, 1, Run.State.RUNNING));
+		worker.add(new Run(step(millis, "c").tasks().get(0), 1, worker, 1, Run.State.RUNNING));
 		return worker;
 	}
 
 	private WorkUnit unit(long millis, boolean guaranteed) {
-		StepState step = step(millis);
+		return unit(step(millis, "c"), guaranteed);
+	}
+
+	private WorkUnit unit(long millis, String customer) {
+		return unit(step(millis, customer), false);
+	}
+
+	private WorkUnit unit(StepState step, boolean guaranteed) {
 		return new WorkUnit(new JobQueue("q", "h", "/", "pool", 1, 2, 3, 1_000, false, false), step, step.tasks(),
 				this.workers, new DeadlineEstimate(Timeliness.IN_TIME, 0, 1), guaranteed, IsolationLevel.NONE);
 	}
 
-	private static StepState step(long millis) {
+	private static StepState step(long millis, String customer) {
 		Step step = new Step(1, new ResourceAmount(8_000, 8, 8), millis, List.of(), false, true,
 				Step.Placement.ANYWHERE, false, Step.ServiceSpec.NONE);
-		return new JobState(new Workflow("j" + millis, "q", "c", "p", List.of(step), Workflow.Schedule.ONCE, 0)).step(0,
-				0);
+		return new JobState(new Workflow("j" + millis, "q", customer, "p", List.of(step), Workflow.Schedule.ONCE, 0))
+			.step(0, 0);
 	}
 
 }
