--- a/core/src/main/java/org/almondmount/workflow/impl/JobState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/JobState.java
@@ -29,6 +29,8 @@
 
 	private double unpersistedCoreSeconds;
 
+	private int preemptionCount;
+
 	JobState(Workflow workflow) {
 		this.workflow = workflow;
 		for (int occurrence = 0; occurrence < workflow.schedule().occurrences(); occurrence++) {
@@ -203,4 +205,16 @@
 		}
 	}
 
+	/**
+	 * Returns how often the job was preempted in this term.
+	 * @return the number of preemptions that stopped any of its runs
+	 */
+	int preemptionCount() {
+		return this.preemptionCount;
+	}
+
+	void countPreemption() {
+		this.preemptionCount++;
+	}
+
 }
