--- a/core/src/main/java/org/almondmount/workflow/impl/JobState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/JobState.java
@@ -29,7 +29,7 @@
 
 	private double unpersistedCoreSeconds;
 
-	private int preemptionCount;
+	private final Map<StepState, Integer> preemptedRuns = new HashMap<>();
 
 	JobState(Workflow workflow) {
 		this.workflow = workflow;
@@ -206,15 +206,21 @@
 	}
 
 	/**
-	 * Returns how often the job was preempted in this term.
-	 * @return the number of preemptions that stopped any of its runs
+	 * Returns how often the job was preempted in this term. A step counts as preempted
+	 * once it has lost as many runs as it has tasks, so that a wide step is not spared as
+	 * a whole because of a few of its tasks.
+	 * @return the sum over all steps
 	 */
 	int preemptionCount() {
-		return this.preemptionCount;
+		int count = 0;
+		for (Map.Entry<StepState, Integer> entry : this.preemptedRuns.entrySet()) {
+			count += entry.getValue() / entry.getKey().tasks().size();
+		}
+		return count;
 	}
 
-	void countPreemption() {
-		this.preemptionCount++;
+	void countPreemptedRun(StepState step) {
+		this.preemptedRuns.merge(step, 1, Integer::sum);
 	}
 
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -221,26 +221,31 @@
 		}
 		WorkUnit unplacedTasks = unit.withTasks(unit.step().tasks().stream().filter(this::needsPlacement).toList());
 		double ownCoreSeconds = DeadlineEstimate.coreSeconds(unit.step(), unplacedTasks.tasks().size());
-		plan(unplacedTasks, (run) -> isPreemptible(run) && canRestartInTime(run, unit.step().expectedMillis()))
-			.filter((plan) -> isWorthwhile(unplacedTasks, plan, ownCoreSeconds))
-			.filter((plan) -> plan.cost() <= ownCoreSeconds * NEGLIGIBLE_COST_RATIO
-					|| !fitsInTimeWithoutPreemption(unplacedTasks))
-			.ifPresent((plan) -> preempt(unplacedTasks, plan));
-	}
-
-	private boolean isWorthwhile(WorkUnit unit, PreemptionPlanner.Plan plan, double ownCoreSeconds) {
-		if (!this.state.has(SchedulerFeature.LIMIT_PREEMPTION)) {
-			return plan.cost() <= ownCoreSeconds * MAX_PREEMPTION_COST_RATIO;
+		Optional<PreemptionPlanner.Plan> plan = plan(unplacedTasks,
+				(run) -> isPreemptible(run) && canRestartInTime(run, unit.step().expectedMillis()));
+		if (plan.isEmpty()) {
+			return;
 		}
-		boolean worthwhile = plan.cost() <= ownCoreSeconds * LIMITED_PREEMPTION_COST_RATIO;
-		if (!worthwhile) {
-			reportRefusal(unit.step(), plan, ownCoreSeconds);
+		if (plan.get().cost() > ownCoreSeconds * maxCostRatio()) {
+			reportRefusal(unit.step(), plan.get(), ownCoreSeconds);
+			return;
+		}
+		if (plan.get().cost() <= ownCoreSeconds * NEGLIGIBLE_COST_RATIO
+				|| !fitsInTimeWithoutPreemption(unplacedTasks)) {
+			preempt(unplacedTasks, plan.get());
 		}
-		return worthwhile;
+	}
+
+	private double maxCostRatio() {
+		return this.state.has(SchedulerFeature.LIMIT_PREEMPTION) ? LIMITED_PREEMPTION_COST_RATIO
+				: MAX_PREEMPTION_COST_RATIO;
 	}
 
 	// A step that waits is planned for in each round but reported once.
 	private void reportRefusal(StepState step, PreemptionPlanner.Plan plan, double ownCoreSeconds) {
+		if (!this.state.has(SchedulerFeature.LIMIT_PREEMPTION)) {
+			return;
+		}
 		this.refusedSteps.removeIf((refused) -> refused.job().over() || refused.done()
 				|| this.state.jobs().get(refused.job().id()) != refused.job());
 		if (this.refusedSteps.add(step)) {
@@ -291,8 +296,12 @@
 			plan.placement().forEach((task, worker) -> this.preemptedPlacements.put(task, Map.of(task, worker)));
 		}
 		explainPreemption(unit, plan);
-		plan.jobs().forEach(JobState::countPreemption);
-		plan.victims().forEach((run) -> this.runLifecycle.stop(run, WorkOutcome.GAVE_WAY));
+		for (Run run : plan.victims()) {
+			if (!run.stopping()) {
+				run.task().step().job().countPreemptedRun(run.task().step());
+			}
+			this.runLifecycle.stop(run, WorkOutcome.GAVE_WAY);
+		}
 	}
 
 	private void explainPreemption(WorkUnit unit, PreemptionPlanner.Plan plan) {
--- a/core/src/main/java/org/almondmount/workflow/impl/PreemptionPlanner.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PreemptionPlanner.java
@@ -52,7 +52,7 @@
 			Predicate<Run> preemptible) {
 		if (this.placer.requiresOneRack(unit, workers)) {
 			List<List<Worker>> racks = this.placer.racks(unit, workers);
-			Optional<Plan> inOneRack = avoidRepetition(preemptible,
+			Optional<Plan> inOneRack = avoidRepetition(workers, preemptible,
 					(allowed) -> cheapest(unit, racks, capacities, allowed));
 			if (inOneRack.isPresent()) {
 				return inOneRack;
@@ -73,25 +73,37 @@
 	 */
 	Optional<Plan> planAcrossRacks(WorkUnit unit, List<Worker> workers, Supplier<TentativeCapacity> capacities,
 			Predicate<Run> preemptible) {
-		return avoidRepetition(preemptible, (allowed) -> planWithin(unit, workers, capacities, allowed));
+		return avoidRepetition(workers, preemptible, (allowed) -> planWithin(unit, workers, capacities, allowed));
 	}
 
 	// Jobs that were preempted before are preempted again only if no plan exists without
 	// them. Otherwise each urgent job would stop whatever the previous one has stopped,
 	// since it has just restarted and loses little.
-	private Optional<Plan> avoidRepetition(Predicate<Run> preemptible,
+	private Optional<Plan> avoidRepetition(List<Worker> workers, Predicate<Run> preemptible,
 			Function<Predicate<Run>, Optional<Plan>> search) {
-		if (!limitsPreemption()) {
+		if (!limitsPreemption() || !anyPreemptedBefore(workers, preemptible)) {
 			return search.apply(preemptible);
 		}
 		Optional<Plan> sparing = search.apply(preemptible.and((run) -> !wasPreempted(run)));
+		Optional<Plan> any = search.apply(preemptible);
 		if (sparing.isEmpty()) {
-			return search.apply(preemptible);
+			return any;
 		}
-		boolean avoided = search.apply(preemptible).map(Plan::repeatsPreemption).orElse(false);
+		boolean avoided = any.map(Plan::repeatsPreemption).orElse(false);
 		return avoided ? sparing.map(Plan::withRepetitionAvoided) : sparing;
 	}
 
+	private static boolean anyPreemptedBefore(List<Worker> workers, Predicate<Run> preemptible) {
+		for (Worker worker : workers) {
+			for (Run run : worker.runs()) {
+				if (!run.stopping() && wasPreempted(run) && preemptible.test(run)) {
+					return true;
+				}
+			}
+		}
+		return false;
+	}
+
 	private static boolean wasPreempted(Run run) {
 		return run.task().step().job().preemptionCount() > 0;
 	}
@@ -180,16 +192,6 @@
 			return new Plan(this.placement, this.victims, this.lostCoreSeconds, this.cost, true);
 		}
 
-		/**
-		 * Returns the jobs that lose runs.
-		 * @return each job once
-		 */
-		Set<JobState> jobs() {
-			Set<JobState> jobs = new LinkedHashSet<>();
-			this.victims.forEach((run) -> jobs.add(run.task().step().job()));
-			return jobs;
-		}
-
 		/**
 		 * Returns how many gangs and single runs are stopped.
 		 * @return the number of groups
--- a/core/src/main/java/org/almondmount/workflow/impl/StopForecast.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/StopForecast.java
@@ -1,5 +1,6 @@
 package org.almondmount.workflow.impl;
 
+import java.util.List;
 import java.util.Optional;
 
 import org.almondmount.workflow.JobQueue;
@@ -34,9 +35,8 @@
 		long remainingMillis = run.remainingMillis(this.state.steadyMillis());
 		long restartMillis = this.state.policy().stopTimeoutMillis() + this.unit.step().expectedMillis()
 				+ repeatedMillis(step, remainingMillis);
-		Timeliness ifLeft = timeliness(queue.get(), step, remainingMillis);
-		Timeliness ifStopped = timeliness(queue.get(), step, restartMillis);
-		return StopEffect.of(!ifLeft.waitsBehindAll(), ifLeft == Timeliness.IN_TIME, ifStopped == Timeliness.IN_TIME);
+		return StopEffect.of(isUseful(queue.get(), step, remainingMillis), isInTime(queue.get(), step, remainingMillis),
+				isInTime(queue.get(), step, restartMillis));
 	}
 
 	private long repeatedMillis(StepState step, long remainingMillis) {
@@ -44,12 +44,22 @@
 				: step.expectedMillis();
 	}
 
-	// A step is judged by its start, so the start is chosen from which it would end at
-	// the expected time.
-	private Timeliness timeliness(JobQueue queue, StepState step, long endsInMillis) {
-		long startMillis = this.state.wallMillis() + endsInMillis - step.expectedMillis();
-		return DeadlineEstimate.of(startMillis, queue, step, PendingUnits.dueMillis(step), this.unit.workers())
-			.timeliness();
+	private boolean isInTime(JobQueue queue, StepState step, long endsInMillis) {
+		return startMillis(step, endsInMillis) <= DeadlineEstimate.latestStart(queue, step,
+				PendingUnits.dueMillis(step), 1);
+	}
+
+	private boolean isUseful(JobQueue queue, StepState step, long endsInMillis) {
+		return isInTime(queue, step, endsInMillis) || !DeadlineEstimate
+			.of(startMillis(step, endsInMillis), queue, step, PendingUnits.dueMillis(step), List.of())
+			.timeliness()
+			.waitsBehindAll();
+	}
+
+	// Estimates judge a step by its start, so this is the start from which it would end
+	// at the expected time.
+	private long startMillis(StepState step, long endsInMillis) {
+		return this.state.wallMillis() + endsInMillis - step.expectedMillis();
 	}
 
 }
--- a/core/src/main/java/org/almondmount/workflow/preemption/FreedRoom.java
+++ b/core/src/main/java/org/almondmount/workflow/preemption/FreedRoom.java
@@ -81,6 +81,9 @@
 	 * @return the number of tasks on all workers of these groups
 	 */
 	long gain(List<Integer> groups) {
+		if (groups.size() == 1) {
+			return gain(this.request.groups().get(groups.get(0)).held());
+		}
 		Map<Integer, ResourceAmount> freed = new HashMap<>();
 		for (int group : groups) {
 			this.request.groups()
@@ -88,6 +91,10 @@
 				.held()
 				.forEach((worker, amount) -> freed.merge(worker, amount, ResourceAmount::plus));
 		}
+		return gain(freed);
+	}
+
+	private long gain(Map<Integer, ResourceAmount> freed) {
 		long gain = 0;
 		for (Map.Entry<Integer, ResourceAmount> entry : freed.entrySet()) {
 			WorkerRoom worker = this.workers[entry.getKey()];
--- a/core/src/main/java/org/almondmount/workflow/preemption/VictimGroup.java
+++ b/core/src/main/java/org/almondmount/workflow/preemption/VictimGroup.java
@@ -23,4 +23,12 @@
 		return this.lostCoreSeconds + this.lateCoreSeconds;
 	}
 
+	double tasksHeld(ResourceAmount allocation) {
+		double tasks = 0;
+		for (ResourceAmount amount : this.held.values()) {
+			tasks += amount.dominantShareOf(allocation);
+		}
+		return tasks;
+	}
+
 }
--- a/core/src/main/java/org/almondmount/workflow/preemption/VictimSearch.java
+++ b/core/src/main/java/org/almondmount/workflow/preemption/VictimSearch.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 
 import org.almondmount.workflow.ResourceAmount;
 
@@ -23,7 +24,12 @@
 	private final FreedRoom room;
 
 	/** The groups that hold room on each worker, those with the least loss first. */
-	private final List<List<Integer>> groupsByWorker = new ArrayList<>();
+	private final List<List<Integer>> leastLossFirst;
+
+	/**
+	 * The same groups, those first that lose least for the room that they hold anywhere.
+	 */
+	private final List<List<Integer>> leastLossPerRoomFirst;
 
 	/** The best choice on each worker when it was last examined, or null. */
 	private final Choice[] choices;
@@ -32,7 +38,8 @@
 		this.request = request;
 		this.room = new FreedRoom(request);
 		this.choices = new Choice[request.workers().size()];
-		groupByWorker();
+		this.leastLossFirst = groupsByWorker(VictimGroup::loss);
+		this.leastLossPerRoomFirst = groupsByWorker((group) -> group.loss() / group.tasksHeld(request.allocation()));
 	}
 
 	/**
@@ -65,16 +72,17 @@
 		return Optional.of(new VictimSet(room.stopped(), room.loss()));
 	}
 
-	private void groupByWorker() {
-		this.request.workers().forEach((worker) -> this.groupsByWorker.add(new ArrayList<>()));
-		for (int group = 0; group < this.request.groups().size(); group++) {
+	private List<List<Integer>> groupsByWorker(ToDoubleFunction<VictimGroup> rank) {
+		double[] ranks = this.request.groups().stream().mapToDouble(rank).toArray();
+		List<List<Integer>> byWorker = new ArrayList<>();
+		this.request.workers().forEach((worker) -> byWorker.add(new ArrayList<>()));
+		for (int group = 0; group < ranks.length; group++) {
 			for (int worker : this.request.groups().get(group).held().keySet()) {
-				this.groupsByWorker.get(worker).add(group);
+				byWorker.get(worker).add(group);
 			}
 		}
-		Comparator<Integer> leastLossFirst = Comparator
-			.comparingDouble((group) -> this.request.groups().get(group).loss());
-		this.groupsByWorker.forEach((groups) -> groups.sort(leastLossFirst));
+		byWorker.forEach((groups) -> groups.sort(Comparator.comparingDouble((group) -> ranks[group])));
+		return byWorker;
 	}
 
 	private Optional<VictimSet> search() {
@@ -132,25 +140,28 @@
 		long limit = Math.min(this.room.worker(worker).maxTasks() - fitting, this.room.missingTasks());
 		Choice best = null;
 		for (long more = 1; more <= limit; more *= 2) {
-			List<Integer> groups = groupsFor(worker, this.request.allocation().times(fitting + more));
-			if (groups.isEmpty()) {
-				break;
-			}
-			long gain = Math.min(this.room.gain(groups), this.room.missingTasks());
-			Choice choice = new Choice(groups, this.room.addedLoss(groups) / gain);
-			if (best == null || choice.lossPerTask() < best.lossPerTask()) {
-				best = choice;
-			}
+			ResourceAmount required = this.request.allocation().times(fitting + more);
+			best = better(best, groupsFor(worker, required, this.leastLossFirst.get(worker)));
+			best = better(best, groupsFor(worker, required, this.leastLossPerRoomFirst.get(worker)));
 		}
 		return best;
 	}
 
-	// Takes the groups with the least loss first, then leaves out those that turned out
-	// not to be needed, the dearest first.
-	private List<Integer> groupsFor(int worker, ResourceAmount required) {
+	private Choice better(Choice best, List<Integer> groups) {
+		if (groups.isEmpty() || (best != null && best.groups().equals(groups))) {
+			return best;
+		}
+		long gain = Math.min(this.room.gain(groups), this.room.missingTasks());
+		double lossPerTask = this.room.addedLoss(groups) / gain;
+		return (best == null || lossPerTask < best.lossPerTask()) ? new Choice(groups, lossPerTask) : best;
+	}
+
+	// Takes the first groups of an order, then leaves out those that turned out not to be
+	// needed, the last first.
+	private List<Integer> groupsFor(int worker, ResourceAmount required, List<Integer> order) {
 		ResourceAmount free = this.room.worker(worker).free();
 		List<Integer> taken = new ArrayList<>();
-		for (int group : this.groupsByWorker.get(worker)) {
+		for (int group : order) {
 			if (required.fitsIn(free)) {
 				break;
 			}
