--- a/core/src/main/java/org/almondmount/workflow/impl/PreemptionPlanner.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PreemptionPlanner.java
@@ -26,7 +26,9 @@
  * Preemption handles bursts of urgent jobs that arrive while the fleet is full of work
  * that is not urgent. Among all racks and workers that could hold the unit, it selects
  * those where the least work is lost according to {@link RunWorkSummary#lossIfStopped},
- * and it stops no run whose capacity turns out not to be needed.
+ * and it stops no run whose capacity turns out not to be needed. With
+ * {@link SchedulerFeature#LIMIT_PREEMPTION} it selects gangs instead of workers, counts
+ * results that become late, and spares jobs that were preempted before.
  */
 final class PreemptionPlanner {
 
--- a/core/src/test/java/org/almondmount/workflow/LimitedPreemptionTests.java
+++ b/core/src/test/java/org/almondmount/workflow/LimitedPreemptionTests.java
@@ -86,6 +86,33 @@
 		}
 	}
 
+	@Test
+	void workOfNoMoreUseGivesWayBeforeUsefulWorkThatLosesLess() {
+		beginTerm(0);
+		feed(new WorkflowEvent.JobAccepted(job("expired", 2, step(1, 8))));
+		this.now += 400_000;
+		reportIdle(0, false);
+		startsAfterPersisting(this.commands).forEach(this::reportRunning);
+		this.now += 1_000;
+		reportIdle(1, false);
+		startsAfterAccepting(job("fresh", 2, step(1, 8))).forEach(this::reportRunning);
+		assertThat(onlyStop(urgent("urgent")).task().job()).isEqualTo("expired");
+	}
+
+	@Test
+	void workThatWouldBecomeLateGivesWayAfterWorkThatLosesMore() {
+		beginTerm(0);
+		feed(new WorkflowEvent.JobAccepted(job("tight", 1, step(1, 8))));
+		this.now += 17_000;
+		reportIdle(0, false);
+		WorkflowCommand.StartRun tight = startsAfterPersisting(this.commands).get(0);
+		reportIdle(1, false);
+		startsAfterAccepting(job("slack", 2, step(1, 8))).forEach(this::reportRunning);
+		this.now += 2_000;
+		reportRunning(tight);
+		assertThat(onlyStop(urgent("urgent")).task().job()).isEqualTo("slack");
+	}
+
 	// The run that gave way has just restarted and would lose least, so the next urgent
 	// job would stop it again and again.
 	@Test
