--- a/core/src/test/java/org/almondmount/workflow/impl/PreemptionPlannerTests.java
+++ b/core/src/test/java/org/almondmount/workflow/impl/PreemptionPlannerTests.java
@@ -117,7 +117,7 @@
 		state.configuration(new FleetConfiguration(1, List.of(QUEUE), List.of("pool"),
 				List.of(new FleetCustomer("large", Set.of(), 32), new FleetCustomer("small", Set.of(), 8))));
 		state.now(new ClockReading(NOW, NOW));
-		return new PreemptionPlanner(state, new Placer(policy, state::steadyMillis));
+		return new PreemptionPlanner(state, new Placer(policy, state::steadyMillis, state::speedProfile));
 	}
 
 	private List<Worker> fullFleet(Random random, int count) {
