Shares decide the order only; further reservations are left out

Services keep their order, since they never count as starved, and workers that are gone are no capacity.

--- a/core/src/main/java/org/almondmount/workflow/impl/CustomerSharing.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/CustomerSharing.java
@@ -27,8 +27,6 @@
 
 	private final LogThrottle waitLines = new LogThrottle();
 
-	private final LogThrottle reservationLines = new LogThrottle();
-
 	private Optional<CustomerShares> shares = Optional.empty();
 
 	CustomerSharing(SchedulerState state) {
@@ -49,14 +47,6 @@
 				(customer) -> share(customer).level());
 	}
 
-	boolean active() {
-		return this.shares.isPresent();
-	}
-
-	CustomerShare shareOf(WorkUnit unit) {
-		return share(customerOf(unit));
-	}
-
 	private CustomerShare share(String customer) {
 		return this.shares.map((known) -> known.of(customer)).orElse(CustomerShare.NONE);
 	}
@@ -72,10 +62,10 @@
 	 * @param waitingCustomer the customer that goes before
 	 */
 	void explainWait(WorkUnit unit, String waitingCustomer) {
-		if (!isWaitLineDue(unit)) {
+		if (!this.waitLines.isDue(customerOf(unit), this.state.steadyMillis())) {
 			return;
 		}
-		CustomerShare share = shareOf(unit);
+		CustomerShare share = share(customerOf(unit));
 		this.waitLines.record(customerOf(unit), this.state.steadyMillis());
 		this.state.count(LoadDecision.CUSTOMER_OVER_SHARE);
 		this.state.explain("customer-over-share", "customer", customerOf(unit), "job", unit.step().job().id(),
@@ -83,28 +73,15 @@
 				waitingCustomer);
 	}
 
-	boolean isWaitLineDue(WorkUnit unit) {
-		return this.waitLines.isDue(customerOf(unit), this.state.steadyMillis());
-	}
-
-	void explainReservation(Reservation reservation) {
-		WorkUnit unit = reservation.unit();
-		String job = unit.step().job().id();
-		if (this.reservationLines.isDue(job, this.state.steadyMillis())) {
-			this.reservationLines.record(job, this.state.steadyMillis());
-			this.state.explain("room-reserved", "customer", customerOf(unit), "job", job, "delayMillis",
-					reservation.delayMillis());
-		}
-	}
-
 	static String customerOf(WorkUnit unit) {
 		return unit.step().job().workflow().customer();
 	}
 
 	// Starved work has waited so long that it goes first whoever it belongs to, and
-	// expired work is of no use to any customer.
+	// expired work is of no use to any customer. Services never starve by that measure,
+	// so they keep their order.
 	private static boolean isShared(ShareOrder order, WorkUnit unit) {
-		if (unit.guaranteed()) {
+		if (unit.guaranteed() || unit.step().spec().longRunning()) {
 			return false;
 		}
 		Timeliness timeliness = unit.deadline().timeliness();
@@ -115,6 +92,9 @@
 	private CustomerShares sharesNow() {
 		ResourceAmount fleet = ResourceAmount.NONE;
 		for (Worker worker : this.state.workers().values()) {
+			if (worker.lapsed()) {
+				continue;
+			}
 			fleet = fleet.plus(worker.capacity());
 		}
 		CustomerShares now = new CustomerShares(fleet, this.state.configuration().customers());
--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -15,7 +15,6 @@
 import org.almondmount.workflow.ResourceAmount;
 import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.WorkOutcome;
-import org.almondmount.workflow.sharing.ReservationScope;
 import org.almondmount.workflow.sharing.SharedOrder;
 
 /**
@@ -24,6 +23,18 @@
  */
 final class PlacementRound {
 
+	/**
+	 * Maximum number of reservations, made for the first units that do not fit. More
+	 * would leave workers idle on the basis of estimates.
+	 */
+	private static final int MAX_RESERVATIONS = 2;
+
+	/**
+	 * Maximum share of the fleet's capacity that may be kept idle by reservations while
+	 * other work would fit.
+	 */
+	private static final double MAX_RESERVED_SHARE = 0.5;
+
 	/**
 	 * Maximum work that may be lost by preemption for an urgent job beyond its guarantee,
 	 * as a multiple of the job's own work. An urgent result is worth about three times as
@@ -70,7 +81,7 @@
 
 	private final CustomerSharing sharing;
 
-	private final Reservations reservations = new Reservations();
+	private final List<Reservation> reservations = new ArrayList<>();
 
 	/**
 	 * Steps of which one task did not fit in this round, so that the other tasks do not
@@ -134,11 +145,14 @@
 		if (this.preemptedPlacements.containsKey(unit.firstTask())) {
 			return;
 		}
-		overtaker.or(() -> customerHoldingOff(unit)).ifPresent((other) -> this.sharing.explainWait(unit, other));
-		Optional<ReservationScope> scope = claimReservation(unit);
-		scope.ifPresent((claimed) -> reserve(unit, claimed));
-		boolean nextTaskMayReserve = scope.filter(ReservationScope.ALL::equals).isPresent();
-		if (!nextTaskMayReserve && !unit.guaranteed()) {
+		overtaker.ifPresent((other) -> this.sharing.explainWait(unit, other));
+		boolean worthReserving = this.state.has(SchedulerFeature.RESERVE_ROOM)
+				&& !unit.deadline().timeliness().waitsBehindAll();
+		if (worthReserving && this.reservations.size() < MAX_RESERVATIONS) {
+			reserve(unit);
+			return;
+		}
+		if (!unit.guaranteed()) {
 			this.unplaceableSteps.add(unit.step());
 		}
 	}
@@ -154,40 +168,10 @@
 		return Placer.fillInOrder(unit, workers, capacityFor(unit));
 	}
 
-	private Optional<ReservationScope> claimReservation(WorkUnit unit) {
-		boolean worthReserving = this.state.has(SchedulerFeature.RESERVE_ROOM)
-				&& !unit.deadline().timeliness().waitsBehindAll();
-		return worthReserving ? this.reservations.claim(unit, this.sharing.shareOf(unit)) : Optional.empty();
-	}
-
-	private void reserve(WorkUnit unit, ReservationScope scope) {
-		boolean additional = scope != ReservationScope.ALL;
-		if (!isHalfOfFleetUsed(unit) || (additional && this.reservations.wouldReserveTooMuch(unit))) {
-			return;
-		}
-		List<Reservation> earlier = this.sharing.active() ? this.reservations.all() : List.of();
-		earliestReservation(unit, earlier).map((found) -> found.withScope(scope)).ifPresent((reservation) -> {
-			this.reservations.add(reservation);
-			if (additional) {
-				this.sharing.explainReservation(reservation);
-			}
-		});
-	}
-
-	// Whether a unit would fit but for a reservation of a customer below its entitlement
-	// is known only from a second search. It is made only while a log line is due.
-	private Optional<String> customerHoldingOff(WorkUnit unit) {
-		if (!this.sharing.isWaitLineDue(unit)) {
-			return Optional.empty();
+	private void reserve(WorkUnit unit) {
+		if (isHalfOfFleetUsed(unit)) {
+			earliestReservation(unit).ifPresent(this.reservations::add);
 		}
-		return this.reservations
-			.holdingOff(unit, this.sharing.shareOf(unit), ReservationScope.ABOVE_ENTITLEMENT::equals)
-			.stream()
-			.findFirst()
-			.filter((reservation) -> this.placer
-				.place(unit, unit.workers(), () -> capacityFor(unit, ReservationScope.ALL::equals))
-				.isPresent())
-			.map((reservation) -> CustomerSharing.customerOf(reservation.unit()));
 	}
 
 	// A gang that needs nearly the whole fleet would keep all of it idle until the last
@@ -201,18 +185,14 @@
 			total = total.plus(worker.capacity());
 			free = free.plus(worker.free());
 		}
-		return total.minus(free).dominantShareOf(total) >= 1 - Reservations.MAX_RESERVED_SHARE;
+		return total.minus(free).dominantShareOf(total) >= 1 - MAX_RESERVED_SHARE;
 	}
 
 	private Optional<Reservation> earliestReservation(WorkUnit unit) {
-		return earliestReservation(unit, List.of());
-	}
-
-	private Optional<Reservation> earliestReservation(WorkUnit unit, List<Reservation> earlier) {
 		List<Worker> workers = unit.workers();
 		boolean oneRack = this.placer.requiresOneRack(unit, workers);
 		List<List<Worker>> choices = oneRack ? this.placer.racks(unit, workers) : List.of(workers);
-		return Reservation.earliest(this.state.steadyMillis(), unit, choices, earlier);
+		return Reservation.earliest(this.state.steadyMillis(), unit, choices);
 	}
 
 	// Workers report one after the other when a term begins. Without the delay, runs
@@ -370,18 +350,19 @@
 
 	// Capacity that was freed for one unit is not available to any other unit.
 	private TentativeCapacity capacityFor(WorkUnit unit) {
-		return capacityFor(unit, (scope) -> true);
-	}
-
-	private TentativeCapacity capacityFor(WorkUnit unit, Predicate<ReservationScope> counts) {
 		TentativeCapacity capacity = TentativeCapacity.available();
 		this.preemptedPlacements.forEach((firstTask, placement) -> {
 			if (firstTask != unit.firstTask()) {
 				placement.forEach((task, worker) -> capacity.allocate(worker, firstTask.step().spec().allocation()));
 			}
 		});
-		this.reservations.holdingOff(unit, this.sharing.shareOf(unit), counts)
-			.forEach((reservation) -> reservation.allocate(capacity));
+		for (Reservation reservation : this.reservations) {
+			if (unit.step().expectedMillis() > reservation.delayMillis()) {
+				reservation.placement()
+					.values()
+					.forEach((worker) -> capacity.allocate(worker, reservation.unit().allocation()));
+			}
+		}
 		return capacity;
 	}
 
--- a/core/src/main/java/org/almondmount/workflow/sharing/CustomerShare.java
+++ b/core/src/main/java/org/almondmount/workflow/sharing/CustomerShare.java
@@ -4,7 +4,7 @@
  * What a customer uses of the fleet, and what it is entitled to. Immutable.
  *
  * @param use the share of the fleet that its runs hold, in the resource of which they
- * hold most; from 0 to 1
+ * hold most; it may exceed 1 while workers of earlier runs have not reported
  * @param entitlement the share of the fleet that it may hold while others wait; 0 if it
  * has no guarantee
  */
@@ -42,14 +42,6 @@
 		return level;
 	}
 
-	public boolean isBelowEntitlement() {
-		return this.use < this.entitlement;
-	}
-
-	public boolean isAboveEntitlement() {
-		return this.use > this.entitlement;
-	}
-
 	public long usePercent() {
 		return Math.round(this.use * PERCENT);
 	}
--- a/core/src/main/java/org/almondmount/workflow/sharing/package-info.java
+++ b/core/src/main/java/org/almondmount/workflow/sharing/package-info.java
@@ -1,5 +1,5 @@
 /**
  * Decides how customers share a fleet for which more work waits than it holds: what each
- * uses of its entitlement, whose work goes first, and for whom room is reserved. No I/O.
+ * uses of its entitlement, and whose work goes first. No I/O.
  */
 package org.almondmount.workflow.sharing;
