A poll finds a worker absent only where its connection is refused

A poll that got no connection in time counted as one that found the worker absent: with a full pool, a full backlog, too many waiting calls or a closed client the worker may live. And two refusals of the same millisecond were enough to give its runs up, since the first poll that fails is repeated at once.

Runs are given up once polls that were sent after the announcement found the worker absent, the last at least a pause after the first, with no answer between them and none outstanding. The last one has to be absent too: if the time ran on by itself, one refusal and one poll without an answer would be enough.

`end-too-late` leaves out lasting steps, whose runs that end as done are no repeated work.

Two tests of WorkerManager let a pause pass between their refusals, since without it they would not reach the check that they are for.

--- a/core/src/main/java/org/almondmount/worker/WorkerEvent.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerEvent.java
@@ -86,12 +86,13 @@
 	}
 
 	/**
-	 * The worker did not answer a poll.
+	 * A poll that returned no lists: it was not answered, or the answer was an error or
+	 * cannot be parsed.
 	 *
 	 * @param pollNumber the poll's number
 	 * @param reason the reason
 	 * @param workerAbsent whether the incarnation to which the poll was addressed was not
-	 * there: no connection was made, or another incarnation answered
+	 * there: the connection was refused, or another incarnation answered
 	 */
 	record PollFailed(long pollNumber, String reason, boolean workerAbsent) implements WorkerEvent {
 	}
--- a/core/src/main/java/org/almondmount/worker/WorkerManager.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerManager.java
@@ -45,12 +45,6 @@
 	 */
 	private static final int MAX_REMEMBERED_HEARTBEATS = 64;
 
-	/**
-	 * Number of consecutive polls, sent after a worker announced its shutdown, that find
-	 * it absent once it is gone.
-	 */
-	private static final int MIN_ABSENT_POLLS_AFTER_LEAVING = 2;
-
 	/**
 	 * Time after which an announced shutdown no longer counts if the worker still
 	 * answers, in milliseconds: it has a new incarnation, or did not shut down.
@@ -114,7 +108,13 @@
 	/** The first poll that was sent after the worker announced its shutdown. */
 	private long firstPollAfterLeaving;
 
-	private int absentPollCount;
+	/**
+	 * When a poll that was sent after that announcement first found the worker absent.
+	 */
+	private long absentSince = Long.MAX_VALUE;
+
+	/** The time between the first and the last poll that found the worker absent. */
+	private long absentMillis;
 
 	private boolean lastPollFailed;
 
@@ -184,19 +184,11 @@
 			if (leaving.worker().equals(this.incarnation.worker())) {
 				this.leavingNoticeAt = now;
 				this.firstPollAfterLeaving = this.lastPollNumber + 1;
-				this.absentPollCount = 0;
+				resetAbsence();
 			}
 		}
 		else if (event instanceof WorkerEvent.PollFailed failed) {
-			handlePollEnded(failed.pollNumber());
-			if (failed.workerAbsent() && failed.pollNumber() >= this.firstPollAfterLeaving) {
-				this.absentPollCount++;
-			}
-			abandonRunsIfWorkerLeft();
-			// The last ends of a worker that shuts down can be read only while it lives.
-			boolean retryAtOnce = this.leavingNoticeAt != Long.MIN_VALUE && !this.lastPollFailed;
-			this.nextPollAt = retryAtOnce ? now : now + this.policy.pollRetryPauseMillis();
-			this.lastPollFailed = true;
+			handlePollFailed(now, failed);
 		}
 		else if (event instanceof WorkerEvent.StartCallEnded ended) {
 			handleStartCallEnded(now, ended);
@@ -338,12 +330,32 @@
 		this.reportDue |= !unchanged;
 	}
 
+	private void handlePollFailed(long now, WorkerEvent.PollFailed failed) {
+		handlePollEnded(failed.pollNumber());
+		if (failed.workerAbsent() && failed.pollNumber() >= this.firstPollAfterLeaving) {
+			this.absentSince = Math.min(this.absentSince, now);
+			this.absentMillis = now - this.absentSince;
+		}
+		abandonRunsIfWorkerLeft();
+		// The last ends of a worker that shuts down can be read only while it lives.
+		boolean retryAtOnce = this.leavingNoticeAt != Long.MIN_VALUE && !this.lastPollFailed;
+		this.nextPollAt = retryAtOnce ? now : now + this.policy.pollRetryPauseMillis();
+		this.lastPollFailed = true;
+	}
+
+	private void resetAbsence() {
+		this.absentSince = Long.MAX_VALUE;
+		this.absentMillis = 0;
+	}
+
 	// A worker that announced its shutdown and is gone has no active runs. They need not
 	// wait until their lease expires. It may live on for seconds after its announcement,
-	// so an unanswered poll does not show that it is gone; and the answer to a poll that
-	// is still outstanding may contain the ends of its last runs.
+	// so an unanswered poll does not show that it is gone, and neither do refusals of one
+	// moment; and the answer to a poll that is still outstanding may contain the ends of
+	// its last runs.
 	private void abandonRunsIfWorkerLeft() {
-		boolean gone = this.leavingNoticeAt != Long.MIN_VALUE && this.absentPollCount >= MIN_ABSENT_POLLS_AFTER_LEAVING;
+		boolean gone = this.leavingNoticeAt != Long.MIN_VALUE && this.absentSince != Long.MAX_VALUE
+				&& this.absentMillis >= this.policy.pollRetryPauseMillis();
 		if (!gone || !this.pollEpochs.isEmpty()) {
 			return;
 		}
@@ -384,7 +396,7 @@
 		this.orders.clear();
 		this.acknowledgedEnd = 0;
 		this.leavingNoticeAt = Long.MIN_VALUE;
-		this.absentPollCount = 0;
+		resetAbsence();
 		this.obeyedEpoch = 0;
 		this.pollRequested = true;
 	}
@@ -415,7 +427,7 @@
 			this.nextHeartbeat = Long.MIN_VALUE;
 		}
 		this.workerAnsweredAt = now;
-		this.absentPollCount = 0;
+		resetAbsence();
 		this.lastPollFailed = false;
 		if (this.leavingNoticeAt != Long.MIN_VALUE && now - this.leavingNoticeAt > LEAVING_NOTICE_VALIDITY_MILLIS) {
 			this.leavingNoticeAt = Long.MIN_VALUE;
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerReportHandler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerReportHandler.java
@@ -294,8 +294,9 @@
 	}
 
 	private void explainUnknownEnd(Worker worker, WorkerReport.Ended end) {
-		boolean workRepeated = end.outcome().done()
-				&& findTask(end.task()).filter((task) -> !task.done() && !task.step().job().over()).isPresent();
+		boolean workRepeated = end.outcome().done() && findTask(end.task())
+			.filter((task) -> !task.done() && !task.step().job().over() && !task.step().spec().longRunning())
+			.isPresent();
 		if (workRepeated) {
 			this.state.explain("end-too-late", "task", end.task(), "run", end.run(), "worker", worker.target(), "life",
 					worker.incarnation(), "how", end.outcome());
--- a/core/src/test/java/org/almondmount/worker/WorkerManagerTests.java
+++ b/core/src/test/java/org/almondmount/worker/WorkerManagerTests.java
@@ -221,6 +221,7 @@
 		for (int ends = 1; ends <= 3; ends++) {
 			feed(new WorkerEvent.EndsRecorded(1, INCARNATION, ends));
 			feed(new WorkerEvent.PollFailed(lastPoll().pollNumber(), "connection refused", true));
+			this.now += WorkerPolicy.DEFAULT.pollRetryPauseMillis();
 		}
 		WorkerReport.Ended end = new WorkerReport.Ended(4, TASK, 1, RunOutcome.DONE, "");
 		feed(new WorkerEvent.PollAnswered(longPoll.pollNumber(), INCARNATION, 950, List.of(), List.of(end)));
@@ -251,6 +252,7 @@
 		for (int ends = 1; ends <= 3; ends++) {
 			feed(new WorkerEvent.EndsRecorded(1, INCARNATION, ends));
 			feed(new WorkerEvent.PollFailed(lastPoll().pollNumber(), "connection refused", true));
+			this.now += WorkerPolicy.DEFAULT.pollRetryPauseMillis();
 		}
 		feed(new WorkerEvent.WorkerLeaving(INCARNATION.worker()));
 		feed(new WorkerEvent.PollFailed(longPoll().pollNumber(), "connection closed", false));
@@ -270,6 +272,34 @@
 		assertThat(this.commands).contains(new WorkerCommand.SendRunNotStarted(TASK, 1, "the worker has shut down"));
 	}
 
+	// Guards against two runs of a task at a time: a worker that shuts down refuses
+	// connections for a moment, and the first poll that fails is repeated at once.
+	@Test
+	void refusalsOfOneMomentDoNotShowThatAWorkerIsGone() {
+		WorkerCommand.Poll longPoll = startRunOnLeavingWorker();
+		List<WorkerReport.Running> running = List.of(new WorkerReport.Running(TASK, 1, "", 0));
+		feed(new WorkerEvent.PollAnswered(longPoll.pollNumber(), INCARNATION, 950, running, List.of()));
+		this.now += WorkerPolicy.DEFAULT.pollRetryPauseMillis();
+		feed(new WorkerEvent.Tick());
+		feed(new WorkerEvent.PollFailed(lastPoll().pollNumber(), "connection refused", true));
+		feed(new WorkerEvent.PollFailed(lastPoll().pollNumber(), "connection refused", true));
+		assertThat(lastPoll().pollNumber()).isEqualTo(longPoll.pollNumber() + 2);
+		assertThat(this.commands).noneMatch(WorkerCommand.SendRunNotStarted.class::isInstance);
+	}
+
+	// Guards against two runs of a task at a time: one poll is refused, and a later one
+	// gets a connection but no answer, so the worker was not absent all the time.
+	@Test
+	void oneRefusalAndAnUnansweredPollDoNotShowThatAWorkerIsGone() {
+		feed(new WorkerEvent.PollFailed(startRunOnLeavingWorker().pollNumber(), "connection closed", false));
+		feed(new WorkerEvent.PollFailed(lastPoll().pollNumber(), "connection refused", true));
+		this.now += WorkerPolicy.DEFAULT.pollRetryPauseMillis();
+		feed(new WorkerEvent.Tick());
+		this.now += WorkerPolicy.DEFAULT.pollRetryPauseMillis();
+		feed(new WorkerEvent.PollFailed(lastPoll().pollNumber(), "no answer", false));
+		assertThat(this.commands).noneMatch(WorkerCommand.SendRunNotStarted.class::isInstance);
+	}
+
 	private WorkerCommand.Poll startRunOnLeavingWorker() {
 		startRun();
 		feed(new WorkerEvent.WorkerLeaving(INCARNATION.worker()));
--- a/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
@@ -116,9 +116,8 @@
 	}
 
 	// Guards against runs that are given up while their worker still runs them. Workers
-	// are
-	// replaced one after the other; each announces its shutdown, may live on for seconds,
-	// and leaves calls unanswered meanwhile.
+	// are replaced one after the other; each announces its shutdown, may live on for
+	// seconds, and leaves calls unanswered meanwhile.
 	@ParameterizedTest
 	@MethodSource("installations")
 	void noPromiseIsBrokenWhileWorkersAreReplaced(long seed, int entries, int workers) {
--- a/runtime/src/main/java/org/almondmount/http/HttpFailure.java
+++ b/runtime/src/main/java/org/almondmount/http/HttpFailure.java
@@ -9,9 +9,26 @@
 
 	private final boolean mayHaveArrived;
 
+	private final boolean connectionRefused;
+
 	public HttpFailure(String server, String message, boolean mayHaveArrived) {
+		this(server, message, mayHaveArrived, false);
+	}
+
+	private HttpFailure(String server, String message, boolean mayHaveArrived, boolean connectionRefused) {
 		super(server, message);
 		this.mayHaveArrived = mayHaveArrived;
+		this.connectionRefused = connectionRefused;
+	}
+
+	/**
+	 * Returns a failure of a call whose connection was refused.
+	 * @param server the server
+	 * @param message the message
+	 * @return the failure
+	 */
+	public static HttpFailure ofRefusedConnection(String server, String message) {
+		return new HttpFailure(server, message, false, true);
 	}
 
 	/**
@@ -22,4 +39,14 @@
 		return this.mayHaveArrived;
 	}
 
+	/**
+	 * Returns whether the connection was refused: nobody listened at the address. A call
+	 * that was not sent for another reason, such as a pool without a free connection,
+	 * says nothing about the server.
+	 * @return true if the connection was refused
+	 */
+	public boolean connectionRefused() {
+		return this.connectionRefused;
+	}
+
 }
--- a/runtime/src/main/java/org/almondmount/http/impl/ClientCall.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/ClientCall.java
@@ -61,6 +61,10 @@
 		this.answer.completeExceptionally(new HttpFailure(this.server, reason, this.channel != null));
 	}
 
+	void failRefused(String reason) {
+		this.answer.completeExceptionally(HttpFailure.ofRefusedConnection(this.server, reason));
+	}
+
 	/**
 	 * Abandons the call. Its late answer may still arrive on the connection, so the
 	 * connection is closed and never reused.
