--- a/core/src/main/java/org/almondmount/workflow/LoadDecision.java
+++ b/core/src/main/java/org/almondmount/workflow/LoadDecision.java
@@ -20,7 +20,9 @@
 	/** A run was not preempted because its job had been preempted before. */
 	REPEATED_PREEMPTION_AVOIDED,
 
-	/** A job waited behind those of customers that use less of their share; once a second. */
+	/**
+	 * A job waited behind those of customers that use less of their share; once a second.
+	 */
 	CUSTOMER_OVER_SHARE
 
 }
