The part on preemption is left out

Revert of the merge of part-preemption (search for victims by gangs, sparing of jobs that gave way, cost of lateness, at most the urgent job's own work beyond a guarantee).

--- a/core/src/main/java/org/almondmount/workflow/LoadDecision.java
+++ b/core/src/main/java/org/almondmount/workflow/LoadDecision.java
@@ -14,12 +14,6 @@
 	/** A worker was paused because a run failed there right after its start. */
 	WORKER_BLAMED,
 
-	/** A preemption was refused because it would lose more than the urgent job gains. */
-	PREEMPTION_TOO_COSTLY,
-
-	/** A run was not preempted because its job had been preempted before. */
-	REPEATED_PREEMPTION_AVOIDED,
-
 	/**
 	 * A job waited behind those of customers that use less of their share; once a second.
 	 */
--- a/core/src/main/java/org/almondmount/workflow/SchedulerFeature.java
+++ b/core/src/main/java/org/almondmount/workflow/SchedulerFeature.java
@@ -59,9 +59,6 @@
 	/** Blames the worker for a run that fails right after its start. */
 	BLAME_EARLY_FAILURES(FeatureTrigger.SPARE_ATTEMPTS),
 
-	/** Limits the work that urgent jobs take from others, and how often they take it. */
-	LIMIT_PREEMPTION(FeatureTrigger.UNEVEN_GUARANTEES),
-
 	/** Keeps the burst of one customer from delaying the jobs of the others. */
 	SHARE_BETWEEN_CUSTOMERS(FeatureTrigger.UNEVEN_GUARANTEES),
 
--- a/core/src/main/java/org/almondmount/workflow/impl/JobState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/JobState.java
@@ -36,8 +36,6 @@
 
 	private double unpersistedCoreSeconds;
 
-	private final Map<StepState, Integer> preemptedRuns = new HashMap<>();
-
 	JobState(Workflow workflow) {
 		this.workflow = workflow;
 		for (int occurrence = 0; occurrence < workflow.schedule().occurrences(); occurrence++) {
@@ -215,22 +213,4 @@
 		}
 	}
 
-	/**
-	 * Returns how often the job was preempted in this term. A step counts as preempted
-	 * once it has lost as many runs as it has tasks, so that a wide step is not spared as
-	 * a whole because of a few of its tasks.
-	 * @return the sum over all steps
-	 */
-	int preemptionCount() {
-		int count = 0;
-		for (Map.Entry<StepState, Integer> entry : this.preemptedRuns.entrySet()) {
-			count += entry.getValue() / entry.getKey().tasks().size();
-		}
-		return count;
-	}
-
-	void countPreemptedRun(StepState step) {
-		this.preemptedRuns.merge(step, 1, Integer::sum);
-	}
-
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -11,7 +11,6 @@
 import java.util.stream.Collectors;
 
 import org.almondmount.workflow.JobQueue;
-import org.almondmount.workflow.LoadDecision;
 import org.almondmount.workflow.ResourceAmount;
 import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.WorkOutcome;
@@ -43,12 +42,6 @@
 	 */
 	private static final double MAX_PREEMPTION_COST_RATIO = 2.0;
 
-	/**
-	 * The same multiple if preemption is limited: no caller may lose more than the urgent
-	 * one gains.
-	 */
-	private static final double LIMITED_PREEMPTION_COST_RATIO = 1.0;
-
 	/**
 	 * Work that is lost by preemption even if the urgent job would be in time without it,
 	 * as a fraction of the job's own work.
@@ -95,16 +88,13 @@
 	 */
 	private final Map<TaskState, Map<TaskState, Worker>> preemptedPlacements = new LinkedHashMap<>();
 
-	/** Steps for which a preemption was refused, each reported once. */
-	private final Set<StepState> refusedSteps = new HashSet<>();
-
 	PlacementRound(SchedulerState state, RunLifecycle runLifecycle) {
 		this.state = state;
 		this.runLifecycle = runLifecycle;
 		this.pendingUnits = new PendingUnits(state);
 		this.sharing = new CustomerSharing(state);
 		this.placer = new Placer(state.policy(), state::steadyMillis, state::speedProfile);
-		this.preemptionPlanner = new PreemptionPlanner(state, this.placer);
+		this.preemptionPlanner = new PreemptionPlanner(this.placer);
 	}
 
 	void clear() {
@@ -229,38 +219,11 @@
 		}
 		WorkUnit unplacedTasks = unit.withTasks(unit.step().tasks().stream().filter(this::needsPlacement).toList());
 		double ownCoreSeconds = DeadlineEstimate.coreSeconds(unit.step(), unplacedTasks.tasks().size());
-		Optional<PreemptionPlanner.Plan> plan = plan(unplacedTasks,
-				(run) -> isPreemptible(run) && canRestartInTime(run, unit.step().expectedMillis()));
-		if (plan.isEmpty()) {
-			return;
-		}
-		if (plan.get().cost() > ownCoreSeconds * maxCostRatio()) {
-			reportRefusal(unit.step(), plan.get(), ownCoreSeconds);
-			return;
-		}
-		if (plan.get().cost() <= ownCoreSeconds * NEGLIGIBLE_COST_RATIO
-				|| !fitsInTimeWithoutPreemption(unplacedTasks)) {
-			preempt(unplacedTasks, plan.get());
-		}
-	}
-
-	private double maxCostRatio() {
-		return this.state.has(SchedulerFeature.LIMIT_PREEMPTION) ? LIMITED_PREEMPTION_COST_RATIO
-				: MAX_PREEMPTION_COST_RATIO;
-	}
-
-	// A step that waits is planned for in each round but reported once.
-	private void reportRefusal(StepState step, PreemptionPlanner.Plan plan, double ownCoreSeconds) {
-		if (!this.state.has(SchedulerFeature.LIMIT_PREEMPTION)) {
-			return;
-		}
-		this.refusedSteps.removeIf((refused) -> refused.job().over() || refused.done()
-				|| this.state.jobs().get(refused.job().id()) != refused.job());
-		if (this.refusedSteps.add(step)) {
-			this.state.count(LoadDecision.PREEMPTION_TOO_COSTLY);
-			this.state.explain("preemption-refused", "job", step.job().id(), "step", step.number(), "coreSeconds",
-					Math.round(plan.cost()), "ownCoreSeconds", Math.round(ownCoreSeconds));
-		}
+		plan(unplacedTasks, (run) -> isPreemptible(run) && canRestartInTime(run, unit.step().expectedMillis()))
+			.filter((plan) -> plan.cost() <= ownCoreSeconds * MAX_PREEMPTION_COST_RATIO)
+			.filter((plan) -> plan.cost() <= ownCoreSeconds * NEGLIGIBLE_COST_RATIO
+					|| !fitsInTimeWithoutPreemption(unplacedTasks))
+			.ifPresent((plan) -> preempt(unplacedTasks, plan));
 	}
 
 	// Many runs end by themselves within the second or two that an urgent job can wait.
@@ -287,13 +250,15 @@
 		}
 		double slowdownCost = DeadlineEstimate.coreSeconds(unit.step(), unit.tasks().size())
 				* (Placer.CROSS_RACK_SLOWDOWN - 1);
-		return this.preemptionPlanner.planAcrossRacks(unit, unit.workers(), () -> capacityFor(unit), preemptible)
+		return this.preemptionPlanner
+			.planWithin(this.state.steadyMillis(), unit, unit.workers(), () -> capacityFor(unit), preemptible)
 			.filter((acrossRacks) -> acrossRacks.cost() + slowdownCost < preferredPlan.get().cost())
 			.or(() -> preferredPlan);
 	}
 
 	private Optional<PreemptionPlanner.Plan> plan(WorkUnit unit, Predicate<Run> preemptible) {
-		return this.preemptionPlanner.plan(unit, unit.workers(), () -> capacityFor(unit), preemptible);
+		return this.preemptionPlanner.plan(this.state.steadyMillis(), unit, unit.workers(), () -> capacityFor(unit),
+				preemptible);
 	}
 
 	private void preempt(WorkUnit unit, PreemptionPlanner.Plan plan) {
@@ -303,26 +268,9 @@
 		else {
 			plan.placement().forEach((task, worker) -> this.preemptedPlacements.put(task, Map.of(task, worker)));
 		}
-		explainPreemption(unit, plan);
-		for (Run run : plan.victims()) {
-			if (!run.stopping()) {
-				run.task().step().job().countPreemptedRun(run.task().step());
-			}
-			this.runLifecycle.stop(run, WorkOutcome.GAVE_WAY);
-		}
-	}
-
-	private void explainPreemption(WorkUnit unit, PreemptionPlanner.Plan plan) {
-		List<Object> keysAndValues = new ArrayList<>(
-				List.of("job", unit.step().job().id(), "step", unit.step().number(), "guaranteed", unit.guaranteed(),
-						"victims", plan.victims().size(), "coreSeconds", Math.round(plan.lostCoreSeconds())));
-		if (this.state.has(SchedulerFeature.LIMIT_PREEMPTION)) {
-			keysAndValues.addAll(List.of("groups", plan.groupCount(), "repeated", plan.repeatsPreemption()));
-		}
-		this.state.explain("runs-give-way", keysAndValues.toArray());
-		if (plan.repetitionAvoided()) {
-			this.state.count(LoadDecision.REPEATED_PREEMPTION_AVOIDED);
-		}
+		this.state.explain("runs-give-way", "job", unit.step().job().id(), "step", unit.step().number(), "guaranteed",
+				unit.guaranteed(), "victims", plan.victims().size(), "coreSeconds", Math.round(plan.cost()));
+		plan.victims().forEach((run) -> this.runLifecycle.stop(run, WorkOutcome.GAVE_WAY));
 	}
 
 	// Used when urgent work of other customers has taken all capacity beyond their own
--- a/core/src/main/java/org/almondmount/workflow/impl/PreemptionPlanner.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PreemptionPlanner.java
@@ -10,15 +10,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.almondmount.workflow.ResourceAmount;
-import org.almondmount.workflow.SchedulerFeature;
-import org.almondmount.workflow.preemption.RoomRequest;
-import org.almondmount.workflow.preemption.VictimSearch;
-import org.almondmount.workflow.preemption.VictimSet;
 
 /**
  * Chooses the runs that are preempted for a unit that does not fit. Stateless.
@@ -26,23 +21,19 @@
  * Preemption handles bursts of urgent jobs that arrive while the fleet is full of work
  * that is not urgent. Among all racks and workers that could hold the unit, it selects
  * those where the least work is lost according to {@link RunWorkSummary#lossIfStopped},
- * and it stops no run whose capacity turns out not to be needed. With
- * {@link SchedulerFeature#LIMIT_PREEMPTION} it selects gangs instead of workers, counts
- * results that become late, and spares jobs that were preempted before.
+ * and it stops no run whose capacity turns out not to be needed.
  */
 final class PreemptionPlanner {
 
-	private final SchedulerState state;
-
 	private final Placer placer;
 
-	PreemptionPlanner(SchedulerState state, Placer placer) {
-		this.state = state;
+	PreemptionPlanner(Placer placer) {
 		this.placer = placer;
 	}
 
 	/**
 	 * Chooses a placement and the runs that are preempted for it.
+	 * @param now the steady clock
 	 * @param unit the unit
 	 * @param workers the workers that may run it
 	 * @param capacities supplies the capacity available to the unit; called for each
@@ -50,22 +41,33 @@
 	 * @param preemptible the runs that may be stopped
 	 * @return the cheapest plan, or empty if the unit would not fit even then
 	 */
-	Optional<Plan> plan(WorkUnit unit, List<Worker> workers, Supplier<TentativeCapacity> capacities,
+	Optional<Plan> plan(long now, WorkUnit unit, List<Worker> workers, Supplier<TentativeCapacity> capacities,
 			Predicate<Run> preemptible) {
 		if (this.placer.requiresOneRack(unit, workers)) {
-			List<List<Worker>> racks = this.placer.racks(unit, workers);
-			Optional<Plan> inOneRack = avoidRepetition(workers, preemptible,
-					(allowed) -> cheapest(unit, racks, capacities, allowed));
+			Optional<Plan> inOneRack = cheapest(now, unit, this.placer.racks(unit, workers), capacities, preemptible);
 			if (inOneRack.isPresent()) {
 				return inOneRack;
 			}
 		}
-		return planAcrossRacks(unit, workers, capacities, preemptible);
+		return planWithin(now, unit, workers, capacities, preemptible);
+	}
+
+	private Optional<Plan> cheapest(long now, WorkUnit unit, List<List<Worker>> choices,
+			Supplier<TentativeCapacity> capacities, Predicate<Run> preemptible) {
+		Plan best = null;
+		for (List<Worker> choice : choices) {
+			Plan plan = planWithin(now, unit, choice, capacities, preemptible).orElse(null);
+			if (plan != null && (best == null || plan.cost() < best.cost())) {
+				best = plan;
+			}
+		}
+		return Optional.ofNullable(best);
 	}
 
 	/**
 	 * Chooses a placement over all given workers, regardless of racks, and the runs that
 	 * are preempted for it.
+	 * @param now the steady clock
 	 * @param unit the unit
 	 * @param workers the workers that it may use
 	 * @param capacities supplies the capacity available to the unit; called for each
@@ -73,60 +75,7 @@
 	 * @param preemptible the runs that may be stopped
 	 * @return the plan, or empty if the unit would not fit even then
 	 */
-	Optional<Plan> planAcrossRacks(WorkUnit unit, List<Worker> workers, Supplier<TentativeCapacity> capacities,
-			Predicate<Run> preemptible) {
-		return avoidRepetition(workers, preemptible, (allowed) -> planWithin(unit, workers, capacities, allowed));
-	}
-
-	// Jobs that were preempted before are preempted again only if no plan exists without
-	// them. Otherwise each urgent job would stop whatever the previous one has stopped,
-	// since it has just restarted and loses little.
-	private Optional<Plan> avoidRepetition(List<Worker> workers, Predicate<Run> preemptible,
-			Function<Predicate<Run>, Optional<Plan>> search) {
-		if (!limitsPreemption() || !anyPreemptedBefore(workers, preemptible)) {
-			return search.apply(preemptible);
-		}
-		Optional<Plan> sparing = search.apply(preemptible.and((run) -> !wasPreempted(run)));
-		Optional<Plan> any = search.apply(preemptible);
-		if (sparing.isEmpty()) {
-			return any;
-		}
-		boolean avoided = any.map(Plan::repeatsPreemption).orElse(false);
-		return avoided ? sparing.map(Plan::withRepetitionAvoided) : sparing;
-	}
-
-	private static boolean anyPreemptedBefore(List<Worker> workers, Predicate<Run> preemptible) {
-		for (Worker worker : workers) {
-			for (Run run : worker.runs()) {
-				if (!run.stopping() && wasPreempted(run) && preemptible.test(run)) {
-					return true;
-				}
-			}
-		}
-		return false;
-	}
-
-	private static boolean wasPreempted(Run run) {
-		return run.task().step().job().preemptionCount() > 0;
-	}
-
-	private boolean limitsPreemption() {
-		return this.state.has(SchedulerFeature.LIMIT_PREEMPTION);
-	}
-
-	private Optional<Plan> cheapest(WorkUnit unit, List<List<Worker>> choices, Supplier<TentativeCapacity> capacities,
-			Predicate<Run> preemptible) {
-		Plan best = null;
-		for (List<Worker> choice : choices) {
-			Plan plan = planWithin(unit, choice, capacities, preemptible).orElse(null);
-			if (plan != null && (best == null || plan.cost() < best.cost())) {
-				best = plan;
-			}
-		}
-		return Optional.ofNullable(best);
-	}
-
-	private Optional<Plan> planWithin(WorkUnit unit, List<Worker> workers, Supplier<TentativeCapacity> capacities,
+	Optional<Plan> planWithin(long now, WorkUnit unit, List<Worker> workers, Supplier<TentativeCapacity> capacities,
 			Predicate<Run> preemptible) {
 		TentativeCapacity capacity = capacities.get();
 		Set<Run> candidates = new HashSet<>();
@@ -143,35 +92,13 @@
 		if (!capacity.canPlaceAll(workers, unit)) {
 			return Optional.empty();
 		}
-		WorkLossEstimator lossEstimator = this.placer.lossEstimator(this.state.steadyMillis());
-		WorkerSearch search = new WorkerSearch(unit, capacities.get(), candidates, lossEstimator);
+		WorkLossEstimator lossEstimator = this.placer.lossEstimator(now);
+		VictimSearch search = new VictimSearch(unit, capacities.get(), candidates, lossEstimator);
 		List<Worker> cheapestFirst = search.sortByCost(workers);
 		Map<TaskState, Worker> placement = Placer.fillInOrder(unit, cheapestFirst, capacity).orElseThrow();
 		Set<Run> victims = search.victims(placement);
 		double cost = victims.stream().mapToDouble(lossEstimator::lossOfRun).sum();
-		Plan byWorker = new Plan(placement, victims, cost, cost, false);
-		if (!limitsPreemption()) {
-			return Optional.of(byWorker);
-		}
-		VictimGroups groups = new VictimGroups(unit, workers, candidates);
-		return Optional.of(improve(byWorker, groups, capacities, lossEstimator));
-	}
-
-	// The runs chosen worker by worker always make room, so the search by groups can only
-	// lower the loss.
-	private Plan improve(Plan byWorker, VictimGroups groups, Supplier<TentativeCapacity> capacities,
-			WorkLossEstimator lossEstimator) {
-		StopForecast forecast = new StopForecast(this.state, groups.unit());
-		RoomRequest request = groups.request(capacities, lossEstimator, forecast);
-		VictimSet victims = VictimSearch.cheapest(request, groups.groupsOf(byWorker.victims())).orElse(null);
-		if (victims == null) {
-			return byWorker;
-		}
-		Set<Run> runs = groups.runsOf(victims.groups());
-		double lost = runs.stream().mapToDouble(lossEstimator::lossOfRun).sum();
-		return groups.placement(capacities, runs)
-			.map((placement) -> new Plan(placement, runs, lost, victims.loss(), false))
-			.orElse(byWorker);
+		return Optional.of(new Plan(placement, victims, cost));
 	}
 
 	/**
@@ -179,40 +106,20 @@
 	 *
 	 * @param placement the worker of each task
 	 * @param victims the runs to preempt
-	 * @param lostCoreSeconds the work that has to be repeated
-	 * @param cost what the preemption costs the callers, in core-seconds
-	 * @param repetitionAvoided whether jobs that were preempted before are spared
+	 * @param cost the work that is lost, in core-seconds
 	 */
-	record Plan(Map<TaskState, Worker> placement, Set<Run> victims, double lostCoreSeconds, double cost,
-			boolean repetitionAvoided) {
-
-		boolean repeatsPreemption() {
-			return this.victims.stream().anyMatch(PreemptionPlanner::wasPreempted);
-		}
-
-		Plan withRepetitionAvoided() {
-			return new Plan(this.placement, this.victims, this.lostCoreSeconds, this.cost, true);
-		}
-
-		/**
-		 * Returns how many gangs and single runs are stopped.
-		 * @return the number of groups
-		 */
-		long groupCount() {
-			return this.victims.stream().map(VictimGroups::keyOf).distinct().count();
-		}
-
+	record Plan(Map<TaskState, Worker> placement, Set<Run> victims, double cost) {
 	}
 
 	/**
-	 * A search for the runs to preempt, worker by worker.
+	 * A search for the runs to preempt.
 	 *
 	 * @param unit the unit to place
 	 * @param free the capacity available to it
 	 * @param candidates the runs that may be stopped
 	 * @param lossEstimator estimates the work that is lost with each run
 	 */
-	private record WorkerSearch(WorkUnit unit, TentativeCapacity free, Set<Run> candidates,
+	private record VictimSearch(WorkUnit unit, TentativeCapacity free, Set<Run> candidates,
 			WorkLossEstimator lossEstimator) {
 
 		List<Worker> sortByCost(List<Worker> workers) {
