A guaranteed unit does not wait for a worker that leaves

While runs gave way for a unit, its place was kept on the workers that they left. If one of these workers then drained, was taken out with its zone or was replaced, the unit kept waiting for it: nothing else gave way and no other place was looked for (found in the review of the part on preemption: a guaranteed gang had not started after 8 s, though a third worker could give way). The place is now dropped and planned anew. A worker that is paused for a moment keeps its place.

UrgentBurstTests#guaranteeIsPlannedAnewOnceAFreedWorkerDrains fails before.

--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -129,7 +129,8 @@
 			this.sharing.onPlaced(unit);
 			return;
 		}
-		if (!this.preemptedPlacements.containsKey(unit.firstTask())) {
+		if (!isPreemptedPlacementUsable(unit)) {
+			this.preemptedPlacements.remove(unit.firstTask());
 			tryPreempt(unit);
 		}
 		if (this.preemptedPlacements.containsKey(unit.firstTask())) {
@@ -147,6 +148,13 @@
 		}
 	}
 
+	// A worker that is paused for a moment will be usable again, so the unit keeps the
+	// place that is being freed for it there.
+	private boolean isPreemptedPlacementUsable(WorkUnit unit) {
+		Map<TaskState, Worker> preempted = this.preemptedPlacements.get(unit.firstTask());
+		return preempted != null && preempted.values().stream().noneMatch(this.state::isLeaving);
+	}
+
 	// Capacity that was freed across several racks is not found by a search that
 	// considers only complete racks.
 	private Optional<Map<TaskState, Worker>> placeOnPreemptedCapacity(WorkUnit unit) {
--- a/core/src/main/java/org/almondmount/workflow/impl/SchedulerState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/SchedulerState.java
@@ -237,6 +237,18 @@
 		return taken;
 	}
 
+	/**
+	 * Whether a worker will not be given new runs again in its current incarnation, or
+	 * not for long.
+	 * @param worker the worker
+	 * @return whether it is draining, its lease has lapsed, it was replaced by a later
+	 * incarnation, or its zone is out of service
+	 */
+	boolean isLeaving(Worker worker) {
+		return worker.draining() || worker.lapsed() || this.workers.get(worker.target()) != worker
+				|| this.zonesOut.contains(worker.zone());
+	}
+
 	/**
 	 * Whether new runs may be started on a worker now.
 	 * @param worker the worker
--- a/core/src/test/java/org/almondmount/workflow/UrgentBurstTests.java
+++ b/core/src/test/java/org/almondmount/workflow/UrgentBurstTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 
@@ -165,6 +166,27 @@
 		assertThat(stopsAfterAccepting(job("mine", 0, step(2, 4)))).hasSize(2);
 	}
 
+	// Guards against a guaranteed gang that waits for a worker it can no longer use: one
+	// of the two workers that are being freed for it starts to drain meanwhile.
+	@Test
+	void guaranteeIsPlannedAnewOnceAFreedWorkerDrains() {
+		feed(new WorkflowEvent.ConfigurationChanged(new FleetConfiguration(2,
+				List.of(new JobQueue("q0", "h", "/0", "pool", 0, 2, 3, 1_000, false, false),
+						new JobQueue("q2", "h", "/2", "pool", 2, 2, 3, 1_000, false, false)),
+				List.of("pool"), List.of(new FleetCustomer("c", Set.of("k"), 16)))));
+		beginTerm(3);
+		startsAfterAccepting(job("less", 2, step(3, 8))).forEach(this::reportRunning);
+		List<WorkflowCommand.StopRun> stopped = stopsAfterAccepting(job("urgent", 0, gangStep(2, 8)));
+		assertThat(stopped).hasSize(2);
+		int draining = Integer.parseInt(stopped.get(0).target().substring(1));
+		this.commands.clear();
+		reportIdle(draining, true);
+		feed(new WorkflowEvent.Tick());
+		assertThat(stops(this.commands)).extracting(WorkflowCommand.StopRun::target)
+			.doesNotContain("t" + draining)
+			.isNotEmpty();
+	}
+
 	// A job whose result is no longer useful waits behind useful work of any priority.
 	@Test
 	void expiredJobWaitsBehindLessUrgentWorkThatIsStillUseful() {
