Evidence of a job is kept for its last eight failures

Cause: each failure scanned all failed jobs, and a job kept every worker on which it had failed, for ever if a lasting step goes on crashing.

Change: a job keeps the last eight workers on which it failed, less those whose failure is older than 30 s; jobs are kept in the order of their last failures and forgotten from the head. recordEarlyFailure returns whether the job is new on the worker.

--- a/core/src/main/java/org/almondmount/workflow/health/FleetHealth.java
+++ b/core/src/main/java/org/almondmount/workflow/health/FleetHealth.java
@@ -1,6 +1,8 @@
 package org.almondmount.workflow.health;
 
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 import org.almondmount.workflow.JobRecord.FailedAttempt;
@@ -45,7 +47,8 @@
 	/** Evidence from stored failures about workers that are not in contact yet. */
 	private final Map<WorkerIncarnation, WorkerEvidence> restoredWorkers = new HashMap<>();
 
-	private final Map<String, JobEvidence> jobs = new HashMap<>();
+	/** The jobs that failed early, in the order of their last failures. */
+	private final Map<String, JobEvidence> jobs = new LinkedHashMap<>();
 
 	private final DecayingSum faultyWorkers = new DecayingSum(EVIDENCE_HALF_LIFE);
 
@@ -137,9 +140,25 @@
 		return this.revision;
 	}
 
-	JobEvidence job(long now, String id) {
-		this.jobs.values().removeIf((job) -> job.isExpired(now));
-		return this.jobs.computeIfAbsent(id, (unknown) -> new JobEvidence(this));
+	/**
+	 * Returns the evidence about a job that has just failed.
+	 * @param now the steady clock
+	 * @param id the identifier of the job
+	 * @return its evidence, empty if its failures have been forgotten
+	 */
+	JobEvidence failedJob(long now, String id) {
+		forgetExpiredJobs(now);
+		JobEvidence known = this.jobs.remove(id);
+		JobEvidence job = (known != null) ? known : new JobEvidence(this);
+		this.jobs.put(id, job);
+		return job;
+	}
+
+	private void forgetExpiredJobs(long now) {
+		Iterator<JobEvidence> eldestFirst = this.jobs.values().iterator();
+		while (eldestFirst.hasNext() && eldestFirst.next().isExpired(now)) {
+			eldestFirst.remove();
+		}
 	}
 
 	/**
--- a/core/src/main/java/org/almondmount/workflow/health/JobEvidence.java
+++ b/core/src/main/java/org/almondmount/workflow/health/JobEvidence.java
@@ -1,6 +1,6 @@
 package org.almondmount.workflow.health;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -17,20 +17,45 @@
 	/** Age in milliseconds at which a failure is forgotten. */
 	private static final long MAX_AGE_MILLIS = 30_000;
 
+	/** Number of workers whose failures are kept; the job is judged by the last ones. */
+	private static final int MAX_FAILURES = 8;
+
 	private final FleetHealth fleet;
 
-	private final Map<WorkerEvidence, Long> failures = new HashMap<>();
+	/** When it failed last on each worker, in this order. */
+	private final Map<WorkerEvidence, Long> failures = new LinkedHashMap<>() {
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<WorkerEvidence, Long> eldest) {
+			return size() > MAX_FAILURES;
+		}
+
+	};
+
+	private long lastFailureMillis;
 
 	JobEvidence(FleetHealth fleet) {
 		this.fleet = fleet;
 	}
 
 	void recordFailure(long now, WorkerEvidence worker) {
+		this.failures.remove(worker);
+		this.failures.values().removeIf((failedMillis) -> isExpired(now, failedMillis));
 		this.failures.put(worker, now);
+		this.lastFailureMillis = now;
 	}
 
 	boolean isExpired(long now) {
-		return this.failures.values().stream().allMatch((failedMillis) -> now - failedMillis > MAX_AGE_MILLIS);
+		return isExpired(now, this.lastFailureMillis);
+	}
+
+	boolean hasFailedOn(long now, WorkerEvidence worker) {
+		Long failedMillis = this.failures.get(worker);
+		return failedMillis != null && !isExpired(now, failedMillis);
+	}
+
+	private static boolean isExpired(long now, long failedMillis) {
+		return now - failedMillis > MAX_AGE_MILLIS;
 	}
 
 	/**
@@ -73,7 +98,8 @@
 	}
 
 	private double remaining(long now, WorkerEvidence worker) {
-		return FleetHealth.EVIDENCE_HALF_LIFE.remaining(now - this.failures.get(worker));
+		Long failedMillis = this.failures.get(worker);
+		return (failedMillis != null) ? FleetHealth.EVIDENCE_HALF_LIFE.remaining(now - failedMillis) : 0;
 	}
 
 	static double logOdds(double probability) {
--- a/core/src/main/java/org/almondmount/workflow/health/WorkerEvidence.java
+++ b/core/src/main/java/org/almondmount/workflow/health/WorkerEvidence.java
@@ -59,18 +59,21 @@
 	 * Records a run that failed before the early age.
 	 * @param now the steady clock
 	 * @param job the identifier of its job
+	 * @return whether the job has not failed early here since the last sound start, as
+	 * far as its failures are kept
 	 */
-	public void recordEarlyFailure(long now, String job) {
+	public boolean recordEarlyFailure(long now, String job) {
 		double before = this.failedJobs.isEmpty() ? 0 : probability(now);
-		JobEvidence evidence = this.fleet.job(now, job);
-		this.failedJobs.removeIf((failed) -> failed.isExpired(now));
+		JobEvidence evidence = this.fleet.failedJob(now, job);
+		this.failedJobs.removeIf((failed) -> !failed.hasFailedOn(now, this));
 		evidence.recordFailure(now, this);
-		this.failedJobs.add(evidence);
+		boolean added = this.failedJobs.add(evidence);
 		this.lastFailureMillis = now;
 		this.fleet.countEarlyFailure(now, before, probability(now));
 		if (isFaulty(now)) {
 			this.fleet.recordOutbreak(now);
 		}
+		return added;
 	}
 
 	/**
--- a/core/src/test/java/org/almondmount/workflow/health/WorkerEvidenceTests.java
+++ b/core/src/test/java/org/almondmount/workflow/health/WorkerEvidenceTests.java
@@ -48,6 +48,22 @@
 			.hasSizeLessThanOrEqualTo(FEW_WORKERS);
 	}
 
+	// Guards against evidence that grows without end while one job fails again and again:
+	// its lasting step is restarted whenever it has crashed.
+	@Test
+	void jobThatFailsForEverIsJudgedByItsLastFailures() {
+		WorkerEvidence first = this.workers.get(0);
+		assertThat(first.recordEarlyFailure(NOW, "lasting")).isTrue();
+		assertThat(first.recordEarlyFailure(NOW + 100, "lasting")).isFalse();
+		for (int worker = 1; worker < 75; worker++) {
+			this.workers.get(worker).recordEarlyFailure(NOW + worker * 300, "lasting");
+		}
+		long last = NOW + 74 * 300;
+		WorkerEvidence unknown = this.fleet.adopt(new WorkerIncarnation("unknown", 1));
+		assertThat(first.probability(last)).isEqualTo(unknown.probability(last));
+		assertThat(first.recordEarlyFailure(last, "lasting")).isTrue();
+	}
+
 	@Test
 	void faultyWorkersElsewhereMakeAFailureWeighMore() {
 		WorkerEvidence calm = new FleetHealth().adopt(WorkerIncarnation.NONE);
