One bad job takes no small pool out of service

Cause: a failed probe paused its worker again although the same job had failed again. The cap of a quarter counted the fleet instead of the pool, also workers that can't be used, and was checked before the worker was added.

Change: only a job that is new on a probed worker pauses it again. The cap counts the pool's workers that can be used or are paused for this, with the worker in question. So none is paused in a pool of three or fewer.

--- a/core/src/main/java/org/almondmount/workflow/impl/Worker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Worker.java
@@ -98,6 +98,10 @@
 		return this.availableUntilMillis;
 	}
 
+	String pool() {
+		return this.description.map(WorkerDescription::pool).orElse("");
+	}
+
 	String rack() {
 		return this.rack;
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerHealthTracker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerHealthTracker.java
@@ -15,9 +15,9 @@
 final class WorkerHealthTracker {
 
 	/**
-	 * Maximum share of the workers that are paused for failures at the same time. If more
-	 * of them fail runs, the cause is hardly the workers, and callers need their
-	 * capacity.
+	 * Maximum share of a pool's workers that are paused for failures at the same time. If
+	 * more of them fail runs, the cause is hardly the workers, and callers need their
+	 * capacity. So none is paused in a pool of three workers or fewer.
 	 */
 	private static final double MAX_BLAMED_SHARE = 0.25;
 
@@ -113,9 +113,9 @@
 		long now = this.state.steadyMillis();
 		WorkerHealth health = run.worker().health();
 		WorkerEvidence evidence = evidence(run.worker());
-		evidence.recordEarlyFailure(now, run.task().step().job().id());
-		boolean faulty = health.probed(now) ? evidence.suspicion(now) > 0 : evidence.isFaulty(now);
-		if (!faulty || health.blamed(now) || !leavesEnoughWorkers()) {
+		boolean newJob = evidence.recordEarlyFailure(now, run.task().step().job().id());
+		boolean faulty = health.probed(now) ? newJob && evidence.suspicion(now) > 0 : evidence.isFaulty(now);
+		if (!faulty || health.blamed(now) || !leavesEnoughWorkers(run.worker())) {
 			return;
 		}
 		health.blame(now);
@@ -141,10 +141,23 @@
 		return startedInThisTerm(run) ? this.state.steadyMillis() - ageMillis(run) : run.startedMillis();
 	}
 
-	private boolean leavesEnoughWorkers() {
+	private boolean leavesEnoughWorkers(Worker paused) {
 		long now = this.state.steadyMillis();
-		long blamed = this.state.workers().values().stream().filter((worker) -> worker.health().blamed(now)).count();
-		return blamed <= this.state.workers().size() * MAX_BLAMED_SHARE;
+		int blamed = 0;
+		int inService = 0;
+		for (Worker worker : this.state.workers().values()) {
+			if (!worker.pool().equals(paused.pool())) {
+				continue;
+			}
+			if (worker.health().blamed(now)) {
+				blamed++;
+				inService++;
+			}
+			else if (this.state.canStartOn(worker)) {
+				inService++;
+			}
+		}
+		return blamed + 1 <= inService * MAX_BLAMED_SHARE;
 	}
 
 	private boolean isYoung(Run run) {
