A probe keeps others away for a short time only

Cause: a run that never begins to work, since its start command is lost or its gang waits, counted as young for as long as it lasted, and so did one that is being stopped. The probed worker took nothing else.

Change: a run counts for the early age and one second after its first start command, and not while it is stopping. Run keeps the time of that command, because the last one is renewed with each repetition.

--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -64,6 +64,9 @@
 
 	private long lastCommandMillis;
 
+	/** Time at which the start command was first sent in this term. */
+	private long startCommandMillis = NOT_SET;
+
 	private long startedMillis;
 
 	private long lastReportMillis;
@@ -218,9 +221,22 @@
 		this.lastCommandMillis = now;
 		if (this.state == State.PERSISTING) {
 			this.state = State.START_SENT;
+			this.startCommandMillis = now;
 		}
 	}
 
+	/**
+	 * Whether the start command is held back or was first sent not long ago, however
+	 * often it was repeated.
+	 * @param now the steady clock
+	 * @param maxMillis the maximum age of the command in milliseconds
+	 * @return whether the run was started so lately in this term
+	 */
+	boolean isStartedWithin(long now, long maxMillis) {
+		return this.state == State.PERSISTING
+				|| (this.startCommandMillis != NOT_SET && now - this.startCommandMillis <= maxMillis);
+	}
+
 	void stopSent(long now) {
 		this.lastCommandMillis = now;
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/Worker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Worker.java
@@ -22,6 +22,11 @@
 	 */
 	static final long SILENCE_LIMIT_MILLIS = 2_000;
 
+	/**
+	 * Time in milliseconds from a start command until the run works and a report says so.
+	 */
+	private static final long START_SLACK_MILLIS = 1_000;
+
 	private final String target;
 
 	private final WorkerIncarnation incarnation;
@@ -142,14 +147,19 @@
 	/**
 	 * Whether a run that may still fail right after its start probes this worker.
 	 * @param now the steady clock
-	 * @return whether the worker is probed, and a run there is young
+	 * @return whether the worker is probed, and a run there is young, or was started so
+	 * lately that it may be
 	 */
 	boolean probeRuns(long now) {
 		return this.health.probed(now) && this.runs.stream().anyMatch((run) -> isYoung(run, now));
 	}
 
+	// A run that waits, for its gang or for a lost start command, may never begin to
+	// work.
 	private static boolean isYoung(Run run, long now) {
-		return run.workedMillis(now) <= EarlyAge.millis(run.task().step().expectedMillis());
+		long earlyMillis = EarlyAge.millis(run.task().step().expectedMillis());
+		return !run.stopping() && run.workedMillis(now) <= earlyMillis
+				&& run.isStartedWithin(now, earlyMillis + START_SLACK_MILLIS);
 	}
 
 	/**
--- a/core/src/test/java/org/almondmount/workflow/FaultyWorkerTests.java
+++ b/core/src/test/java/org/almondmount/workflow/FaultyWorkerTests.java
@@ -111,6 +111,18 @@
 		assertThat(subjects("run-chosen")).contains("c");
 	}
 
+	// Guards against a probe that keeps a worker from all other work because its start
+	// command is lost again and again, so that it never begins to work.
+	@Test
+	void runThatNeverStartsToWorkKeepsOthersFromAProbedWorkerForAShortTimeOnly() {
+		StartRun probe = probeAfterFirstPause();
+		assertThat(startsAfterAccepting(job("c", 1, step(1, 1)))).isEmpty();
+		this.now += 1_400;
+		assertThat(startsAfterPersisting(feed(new WorkflowEvent.Tick()))).containsExactly(probe);
+		this.now += 200;
+		assertThat(startsAfterIdle(probe, 1)).extracting((start) -> start.task().job()).contains("c");
+	}
+
 	@Test
 	void workerThatFailsTheProbeOfASecondJobIsPausedForLonger() {
 		StartRun probe = failEarly(probeAfterFirstPause());
