No room is freed or reserved on a worker that is probed

Cause: preemption for urgent units and reservations planned with all workers. An urgent unit went straight onto a worker that had not passed its probe, and a gang or retry that leaves the probe to other work reserved the room there.

Change: the placer offers the workers without those that are probed, unless the unit is guaranteed or the others could not hold it as well. The placement filter returns its list unchanged if nothing is left out.

There is no test of the preemption plan.

--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -209,7 +209,7 @@
 	}
 
 	private Optional<Reservation> earliestReservation(WorkUnit unit, List<Reservation> earlier) {
-		List<Worker> workers = unit.workers();
+		List<Worker> workers = this.placer.offered(unit);
 		boolean oneRack = this.placer.requiresOneRack(unit, workers);
 		List<List<Worker>> choices = oneRack ? this.placer.racks(unit, workers) : List.of(workers);
 		return Reservation.earliest(this.state.steadyMillis(), unit, choices, earlier);
@@ -313,7 +313,7 @@
 	}
 
 	private Optional<PreemptionPlanner.Plan> plan(WorkUnit unit, Predicate<Run> preemptible) {
-		return this.preemptionPlanner.plan(unit, unit.workers(), () -> capacityFor(unit), preemptible);
+		return this.preemptionPlanner.plan(unit, this.placer.offered(unit), () -> capacityFor(unit), preemptible);
 	}
 
 	private void preempt(WorkUnit unit, PreemptionPlanner.Plan plan) {
--- a/core/src/main/java/org/almondmount/workflow/impl/Placer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -115,9 +115,29 @@
 				others.add(worker);
 			}
 		}
+		if (others.size() == workers.size()) {
+			return workers;
+		}
 		return (!cautious || couldHoldAsWell(unit, others, workers)) ? others : workers;
 	}
 
+	/**
+	 * Returns the workers for which capacity is freed or reserved. A worker that is
+	 * probed has to show first that it is sound.
+	 * @param unit the unit
+	 * @return the workers that may run it, without those that are probed unless it is
+	 * guaranteed or the others could not hold it as well
+	 */
+	List<Worker> offered(WorkUnit unit) {
+		long now = this.steadyMillis.getAsLong();
+		List<Worker> workers = unit.workers();
+		if (unit.guaranteed() || !anyProbed(workers, now)) {
+			return workers;
+		}
+		List<Worker> others = workers.stream().filter((worker) -> !worker.health().probed(now)).toList();
+		return couldHoldAsWell(unit, others, workers) ? others : workers;
+	}
+
 	private static boolean anyProbed(List<Worker> workers, long now) {
 		for (Worker worker : workers) {
 			if (worker.health().probed(now)) {
--- a/core/src/test/java/org/almondmount/workflow/FaultyWorkerTests.java
+++ b/core/src/test/java/org/almondmount/workflow/FaultyWorkerTests.java
@@ -117,6 +117,17 @@
 		assertThat(subjects("run-chosen")).contains("c");
 	}
 
+	// Guards against a probed worker that stays idle: the retry leaves the probe to other
+	// work, but keeps the room for itself.
+	@Test
+	void retryThatAwaitsAProbeReservesNoRoomThere() {
+		StartRun failed = failOnTheOnlyFreeWorker();
+		this.now += 2_000;
+		startsAfterIdle(failed, 1);
+		assertThat(startsAfterAccepting(job("b", 1, step(1, 8)))).extracting(StartRun::target)
+			.containsExactly(failed.target());
+	}
+
 	// Guards against a probe that keeps a worker from all other work because its start
 	// command is lost again and again, so that it never begins to work.
 	@Test
