One faulty worker is no outbreak

Cause: the first failure put down to any worker began an outbreak, which voids all earlier proofs and makes gangs avoid unproven workers. A restored failure did so as well, also one of a task that resumes from a checkpoint. A worker's own failure raised the share of faulty workers by which it was then judged.

Change: an outbreak begins if the fleet's faulty share is twice the usual one or a second worker is found faulty within the outbreak time, and then with the first of the two. A worker is judged before its failure counts there. Stored failures begin none, and those of tasks with a checkpoint aren't restored. Suspicion is 0 at once for a worker without failures in a sound fleet.

The change of checkpoints has no test.

--- a/core/src/main/java/org/almondmount/workflow/health/FleetHealth.java
+++ b/core/src/main/java/org/almondmount/workflow/health/FleetHealth.java
@@ -35,6 +35,9 @@
 	/** Number of observed workers that weigh as much as the assumed share. */
 	private static final double USUAL_SHARE_WEIGHT = 10;
 
+	/** Share from which a single faulty worker is a sign that others are as well. */
+	private static final double OUTBREAK_SHARE = 2 * USUAL_FAULTY_SHARE;
+
 	/** Share above which failures are no longer put down to the workers. */
 	private static final double MAX_FAULTY_SHARE = 0.3;
 
@@ -67,6 +70,10 @@
 	/** The revision that the prior rests on. */
 	private int priorRevision;
 
+	private WorkerEvidence lastFaultyWorker;
+
+	private long lastFaultyMillis;
+
 	private long outbreakBeganMillis;
 
 	private long outbreakEndsMillis = Long.MIN_VALUE;
@@ -92,7 +99,7 @@
 	public void restore(long now, String job, FailedAttempt failure, long expectedMillis) {
 		if (failure.workedMillis() <= EarlyAge.millis(expectedMillis)) {
 			this.restoredWorkers.computeIfAbsent(failure.incarnation(), (unknown) -> new WorkerEvidence(this))
-				.recordEarlyFailure(now, job);
+				.restoreEarlyFailure(now, job);
 		}
 	}
 
@@ -164,7 +171,7 @@
 	/**
 	 * Whether workers are failing runs now, so that an earlier proof is none.
 	 * @param now the steady clock
-	 * @return whether a failure was put down to a worker not long ago
+	 * @return whether failures were put down to several workers not long ago
 	 */
 	boolean inOutbreak(long now) {
 		return now < this.outbreakEndsMillis;
@@ -193,7 +200,8 @@
 	/**
 	 * Counts an early failure on the worker in proportion to the blame that it takes.
 	 * @param now the steady clock
-	 * @param before the probability that the worker is faulty before the failure
+	 * @param before what the worker's earlier failures count for already: the probability
+	 * that it is faulty before this one, 0 if there were none
 	 * @param after the probability afterwards
 	 */
 	void countEarlyFailure(long now, double before, double after) {
@@ -202,11 +210,23 @@
 		this.earlyFailuresOnSound.add(now, 1 - after);
 	}
 
-	void recordOutbreak(long now) {
-		if (!inOutbreak(now)) {
-			this.outbreakBeganMillis = now;
+	/**
+	 * Records that a failure was put down to a worker. A single faulty worker is no
+	 * outbreak, but once a second one is found, it began with the first.
+	 * @param now the steady clock
+	 * @param worker the worker
+	 */
+	void recordFaultyWorker(long now, WorkerEvidence worker) {
+		boolean second = this.lastFaultyWorker != null && this.lastFaultyWorker != worker
+				&& now - this.lastFaultyMillis <= OUTBREAK_MILLIS;
+		if (inOutbreak(now) || second || faultyShare(now) >= OUTBREAK_SHARE) {
+			if (!inOutbreak(now)) {
+				this.outbreakBeganMillis = second ? this.lastFaultyMillis : now;
+			}
+			this.outbreakEndsMillis = now + OUTBREAK_MILLIS;
 		}
-		this.outbreakEndsMillis = now + OUTBREAK_MILLIS;
+		this.lastFaultyWorker = worker;
+		this.lastFaultyMillis = now;
 	}
 
 }
--- a/core/src/main/java/org/almondmount/workflow/health/WorkerEvidence.java
+++ b/core/src/main/java/org/almondmount/workflow/health/WorkerEvidence.java
@@ -21,6 +21,8 @@
 	/** Probability from which other workers are preferred. */
 	private static final double DOUBTFUL_PROBABILITY = 0.1;
 
+	private static final double DOUBTFUL_LOG_ODDS = JobEvidence.logOdds(DOUBTFUL_PROBABILITY);
+
 	/**
 	 * Odds that are left after a run has outlived the early age: the worker may have
 	 * become faulty since.
@@ -59,21 +61,37 @@
 	 * Records a run that failed before the early age.
 	 * @param now the steady clock
 	 * @param job the identifier of its job
-	 * @return whether the job has not failed early here since the last sound start, as
-	 * far as its failures are kept
+	 * @return what is known of the worker with this failure
+	 */
+	public Judgement recordEarlyFailure(long now, String job) {
+		Judgement judgement = countEarlyFailure(now, job);
+		if (judgement.faulty()) {
+			this.fleet.recordFaultyWorker(now, this);
+		}
+		return judgement;
+	}
+
+	/**
+	 * Records a stored failure. It may be old, so no outbreak begins with it.
+	 * @param now the steady clock
+	 * @param job the identifier of its job
 	 */
-	public boolean recordEarlyFailure(long now, String job) {
+	void restoreEarlyFailure(long now, String job) {
+		countEarlyFailure(now, job);
+	}
+
+	// The worker is judged by the other workers' share of faulty ones, so before its own
+	// failure counts there.
+	private Judgement countEarlyFailure(long now, String job) {
 		double before = this.failedJobs.isEmpty() ? 0 : probability(now);
 		JobEvidence evidence = this.fleet.failedJob(now, job);
 		this.failedJobs.removeIf((failed) -> !failed.hasFailedOn(now, this));
 		evidence.recordFailure(now, this);
 		boolean added = this.failedJobs.add(evidence);
 		this.lastFailureMillis = now;
-		this.fleet.countEarlyFailure(now, before, probability(now));
-		if (isFaulty(now)) {
-			this.fleet.recordOutbreak(now);
-		}
-		return added;
+		double after = probability(now);
+		this.fleet.countEarlyFailure(now, before, after);
+		return new Judgement(added, after);
 	}
 
 	/**
@@ -134,7 +152,8 @@
 	 */
 	public int suspicion(long now) {
 		if (this.suspicionMillis != now || this.suspicionRevision != this.fleet.revision()) {
-			this.suspicion = suspicionOf(probability(now));
+			boolean unsuspected = this.failedJobs.isEmpty() && this.fleet.priorLogOdds(now) < DOUBTFUL_LOG_ODDS;
+			this.suspicion = unsuspected ? 0 : suspicionOf(probability(now));
 			this.suspicionMillis = now;
 			this.suspicionRevision = this.fleet.revision();
 		}
@@ -170,4 +189,31 @@
 		return this.fleet.inOutbreak(now) && !isProven(now);
 	}
 
+	/**
+	 * What is known of a worker after an early failure.
+	 *
+	 * @param newJob whether the job has not failed early here since the last sound start,
+	 * as far as its failures are kept
+	 * @param probability the probability that the worker is faulty
+	 */
+	public record Judgement(boolean newJob, double probability) {
+
+		/**
+		 * Whether the worker should be paused.
+		 * @return whether it is probably faulty
+		 */
+		public boolean faulty() {
+			return suspicionOf(this.probability) == 2;
+		}
+
+		/**
+		 * Whether a worker that is probed should be paused again.
+		 * @return whether another job failed there as well, and the worker is in doubt
+		 */
+		public boolean failsProbe() {
+			return this.newJob && suspicionOf(this.probability) > 0;
+		}
+
+	}
+
 }
--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -200,7 +200,9 @@
 			if (step == null || task.index() >= step.tasks().size()) {
 				continue;
 			}
-			this.runLifecycle.workerHealth().restore(step, task.failedAttempts());
+			if (task.checkpoint().isEmpty()) {
+				this.runLifecycle.workerHealth().restore(step, task.failedAttempts());
+			}
 			for (OpenRun open : task.openRuns()) {
 				inherit(step.tasks().get(task.index()), open);
 			}
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerHealthTracker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerHealthTracker.java
@@ -113,8 +113,8 @@
 		long now = this.state.steadyMillis();
 		WorkerHealth health = run.worker().health();
 		WorkerEvidence evidence = evidence(run.worker());
-		boolean newJob = evidence.recordEarlyFailure(now, run.task().step().job().id());
-		boolean faulty = health.probed(now) ? newJob && evidence.suspicion(now) > 0 : evidence.isFaulty(now);
+		WorkerEvidence.Judgement judgement = evidence.recordEarlyFailure(now, run.task().step().job().id());
+		boolean faulty = health.probed(now) ? judgement.failsProbe() : judgement.faulty();
 		if (!faulty || health.blamed(now) || !leavesEnoughWorkers(run.worker())) {
 			return;
 		}
@@ -122,7 +122,7 @@
 		this.state.count(LoadDecision.WORKER_BLAMED);
 		this.state.explain("worker-paused", "worker", run.worker().target(), "why",
 				"runs fail right after their start on this worker", "job", run.task().step().job().id(),
-				"probablyFaultyPercent", percent(evidence.probability(now)), "ageMillis", run.workedMillis(now),
+				"probablyFaultyPercent", percent(judgement.probability()), "ageMillis", run.workedMillis(now),
 				"fleetFaultyPercent", percent(fleet().faultyShare(now)), "pauseMillis", health.pauseMillis(now));
 	}
 
