Early age: at most half a second, or a fifth of a short task

Cause: the comments gave polls four times a second, where they are long polls of 1,000 ms, and for tasks of less than 2.5 s a failure after a good part of the work counted as early.

Change: an early failure is one within 500 ms or a fifth of the expected run time, whichever is less, at least 100 ms.

--- a/core/src/main/java/org/almondmount/workflow/health/EarlyAge.java
+++ b/core/src/main/java/org/almondmount/workflow/health/EarlyAge.java
@@ -8,16 +8,17 @@
 public final class EarlyAge {
 
 	/**
-	 * Minimum in milliseconds: workers are polled four times a second, so a run that
-	 * fails at once may seem to have worked for half of this.
+	 * Maximum in milliseconds. Faulty workers fail a run less than 100 ms after its
+	 * start, but the end may be reported late: with the answer to a poll, which may take
+	 * 1,000 ms.
 	 */
-	private static final long MIN_MILLIS = 500;
+	private static final long MAX_MILLIS = 500;
 
-	/** Maximum in milliseconds, for tasks that run for a minute or more. */
-	private static final long MAX_MILLIS = 800;
+	/** Minimum in milliseconds, for ends that are reported a moment late. */
+	private static final long MIN_MILLIS = 100;
 
 	/** Early part of the expected run time. */
-	private static final double SHARE_OF_RUN_TIME = 0.02;
+	private static final double SHARE_OF_RUN_TIME = 0.2;
 
 	private EarlyAge() {
 	}
@@ -28,6 +29,9 @@
 	 * @return milliseconds of work
 	 */
 	public static long millis(long expectedMillis) {
+		if (expectedMillis == 0) {
+			return MAX_MILLIS;
+		}
 		long share = Math.round(expectedMillis * SHARE_OF_RUN_TIME);
 		return Math.min(MAX_MILLIS, Math.max(MIN_MILLIS, share));
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerHealthTracker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerHealthTracker.java
@@ -167,7 +167,8 @@
 		return ageMillis(run) <= EarlyAge.millis(run.task().step().expectedMillis());
 	}
 
-	// How long a run has worked that was never reported as running is not known exactly.
+	// A run that was never reported as running has worked for at most the time since its
+	// start command.
 	private long ageMillis(Run run) {
 		long now = this.state.steadyMillis();
 		return run.running() ? run.workedMillis(now) : now - run.lastCommandMillis();
--- a/core/src/test/java/org/almondmount/workflow/health/WorkerEvidenceTests.java
+++ b/core/src/test/java/org/almondmount/workflow/health/WorkerEvidenceTests.java
@@ -110,6 +110,15 @@
 		assertThat(this.workers.get(0).isProven(NOW)).isTrue();
 	}
 
+	// Guards against short tasks that put a failure halfway through down to the worker.
+	@Test
+	void earlyAgeIsAFifthOfAShortRunTime() {
+		assertThat(EarlyAge.millis(0)).isEqualTo(500);
+		assertThat(EarlyAge.millis(60_000)).isEqualTo(500);
+		assertThat(EarlyAge.millis(1_000)).isEqualTo(200);
+		assertThat(EarlyAge.millis(200)).isEqualTo(100);
+	}
+
 	@Test
 	void restoredFailuresBeginNoOutbreak() {
 		for (int worker = 1; worker < 4; worker++) {
