Test: the retry that leaves a probe to others would reserve that worker

Cause: retryThatAwaitsAProbeReservesNoRoomThere passed without the change that it is for, because the reservation fell on the first worker of the list.

Change: the failing job is on the first worker.

--- a/core/src/test/java/org/almondmount/workflow/FaultyWorkerTests.java
+++ b/core/src/test/java/org/almondmount/workflow/FaultyWorkerTests.java
@@ -233,10 +233,11 @@
 	 */
 	private StartRun failOnTheOnlyFreeWorker() {
 		beginTerm(WORKERS);
+		StartRun failing = startsAfterAccepting(job("a", 1, step(1, 1))).get(0);
 		for (int worker = 1; worker < WORKERS; worker++) {
 			this.busy.addAll(startsAfterAccepting(job("busy" + worker, 1, step(1, 8))));
 		}
-		return failEarly(startsAfterAccepting(job("a", 1, step(1, 1))).get(0));
+		return failEarly(failing);
 	}
 
 	private List<StartRun> startsAfterIdle(StartRun start, long startedAtMillis) {
