--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -187,7 +187,7 @@
 	}
 
 	private Optional<Reservation> earliestReservation(WorkUnit unit) {
-		List<Worker> workers = unit.workers();
+		List<Worker> workers = this.placer.offered(unit);
 		boolean oneRack = this.placer.requiresOneRack(unit, workers);
 		List<List<Worker>> choices = oneRack ? this.placer.racks(unit, workers) : List.of(workers);
 		return Reservation.earliest(this.state.steadyMillis(), unit, choices);
@@ -265,8 +265,8 @@
 	}
 
 	private Optional<PreemptionPlanner.Plan> plan(WorkUnit unit, Predicate<Run> preemptible) {
-		return this.preemptionPlanner.plan(this.state.steadyMillis(), unit, unit.workers(), () -> capacityFor(unit),
-				preemptible);
+		return this.preemptionPlanner.plan(this.state.steadyMillis(), unit, this.placer.offered(unit),
+				() -> capacityFor(unit), preemptible);
 	}
 
 	private void preempt(WorkUnit unit, PreemptionPlanner.Plan plan) {
--- a/core/src/main/java/org/almondmount/workflow/impl/WorkerHealthTracker.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/WorkerHealthTracker.java
@@ -15,9 +15,9 @@
 final class WorkerHealthTracker {
 
 	/**
-	 * Maximum share of the workers that are paused for failures at the same time. If more
-	 * of them fail runs, the cause is hardly the workers, and callers need their
-	 * capacity.
+	 * Maximum share of a pool's workers that are paused for failures at the same time. If
+	 * more of them fail runs, the cause is hardly the workers, and callers need their
+	 * capacity. So none is paused in a pool of three workers or fewer.
 	 */
 	private static final double MAX_BLAMED_SHARE = 0.25;
 
@@ -113,16 +113,16 @@
 		long now = this.state.steadyMillis();
 		WorkerHealth health = run.worker().health();
 		WorkerEvidence evidence = evidence(run.worker());
-		evidence.recordEarlyFailure(now, run.task().step().job().id());
-		boolean faulty = health.probed(now) ? evidence.suspicion(now) > 0 : evidence.isFaulty(now);
-		if (!faulty || health.blamed(now) || !leavesEnoughWorkers()) {
+		WorkerEvidence.Judgement judgement = evidence.recordEarlyFailure(now, run.task().step().job().id());
+		boolean faulty = health.probed(now) ? judgement.failsProbe() : judgement.faulty();
+		if (!faulty || health.blamed(now) || !leavesEnoughWorkers(run.worker())) {
 			return;
 		}
 		health.blame(now);
 		this.state.count(LoadDecision.WORKER_BLAMED);
 		this.state.explain("worker-paused", "worker", run.worker().target(), "why",
 				"runs fail right after their start on this worker", "job", run.task().step().job().id(),
-				"probablyFaultyPercent", percent(evidence.probability(now)), "ageMillis", run.workedMillis(now),
+				"probablyFaultyPercent", percent(judgement.probability()), "ageMillis", run.workedMillis(now),
 				"fleetFaultyPercent", percent(fleet().faultyShare(now)), "pauseMillis", health.pauseMillis(now));
 	}
 
@@ -136,22 +136,39 @@
 		}
 	}
 
-	// The progress of an inherited run tells only roughly when it started.
+	// The progress of an inherited run tells only roughly when it started, but it cannot
+	// have started after the term began.
 	private long startedMillis(Run run) {
-		return startedInThisTerm(run) ? this.state.steadyMillis() - ageMillis(run) : run.startedMillis();
+		long now = this.state.steadyMillis();
+		long startedMillis = now - ageMillis(run);
+		return startedInThisTerm(run) ? startedMillis : Math.min(startedMillis, now - this.state.termAgeMillis());
 	}
 
-	private boolean leavesEnoughWorkers() {
+	private boolean leavesEnoughWorkers(Worker paused) {
 		long now = this.state.steadyMillis();
-		long blamed = this.state.workers().values().stream().filter((worker) -> worker.health().blamed(now)).count();
-		return blamed <= this.state.workers().size() * MAX_BLAMED_SHARE;
+		int blamed = 0;
+		int inService = 0;
+		for (Worker worker : this.state.workers().values()) {
+			if (!worker.pool().equals(paused.pool())) {
+				continue;
+			}
+			if (worker.health().blamed(now)) {
+				blamed++;
+				inService++;
+			}
+			else if (this.state.canStartOn(worker)) {
+				inService++;
+			}
+		}
+		return blamed + 1 <= inService * MAX_BLAMED_SHARE;
 	}
 
 	private boolean isYoung(Run run) {
 		return ageMillis(run) <= EarlyAge.millis(run.task().step().expectedMillis());
 	}
 
-	// How long a run has worked that was never reported as running is not known exactly.
+	// A run that was never reported as running has worked for at most the time since its
+	// start command.
 	private long ageMillis(Run run) {
 		long now = this.state.steadyMillis();
 		return run.running() ? run.workedMillis(now) : now - run.lastCommandMillis();
