A retry waits at most 2 s for other workers

Cause: avoidUntilMillis extended the wait to the latest start of the job, up to 10 s, so that a job stood still beside free capacity: its failed worker was idle and the others were busy.

Change: the wait ends 2 s after the failure, whatever the time that the job has.

Test: retryDoesNotWaitForeverForBusyWorkers pinned the fault (no start for 9,850 ms beside an idle worker). It now demands the start 2 s after the failure, which is stricter.

--- a/core/src/main/java/org/almondmount/workflow/attempt/FailedUnit.java
+++ b/core/src/main/java/org/almondmount/workflow/attempt/FailedUnit.java
@@ -17,15 +17,16 @@
 		long latestStartMillis, boolean mayWait) {
 
 	/**
-	 * Maximum time since the failure for which a unit waits for better workers if its job
-	 * can be in time, in milliseconds. A job that has no run for three seconds although
-	 * capacity is free looks lost to its caller; one of them is left for the start.
+	 * Maximum time since the failure for which a unit waits for better workers, in
+	 * milliseconds. A job that has no run for three seconds although capacity is free
+	 * looks lost to its caller; one of them is left for the start.
 	 */
 	private static final long MAX_HOLD_MILLIS = 2_000;
 
 	/**
-	 * The same limit for a job that was late already when it failed, in milliseconds: the
-	 * longer it waits, the fewer callers still use the result.
+	 * The same limit for the wait for proven workers if the job was late already when it
+	 * failed, in milliseconds: the longer it waits, the fewer callers still use the
+	 * result.
 	 */
 	private static final long MAX_LATE_HOLD_MILLIS = 1_000;
 
@@ -81,8 +82,7 @@
 		if (!this.mayWait) {
 			return this.failedAtMillis + PREFERENCE_MILLIS;
 		}
-		return Math.min(Math.max(this.latestStartMillis, this.failedAtMillis + MAX_HOLD_MILLIS),
-				this.failedAtMillis + MAX_EVIDENCE_AGE_MILLIS);
+		return this.failedAtMillis + MAX_HOLD_MILLIS;
 	}
 
 	/**
--- a/core/src/test/java/org/almondmount/workflow/SpreadAttemptsTests.java
+++ b/core/src/test/java/org/almondmount/workflow/SpreadAttemptsTests.java
@@ -47,14 +47,15 @@
 		assertThat(targetsAfterFailureOf(startsAfterAccepting(job("a", 1, step(1, 1))))).containsExactly("t0");
 	}
 
-	// Guards against a retry that waits forever for workers that stay busy.
+	// Guards against a job that stands still beside free capacity: the only free worker
+	// is the one where it failed, and the others stay busy.
 	@Test
 	void retryDoesNotWaitForeverForBusyWorkers() {
 		beginTerm(2);
 		List<WorkflowCommand.StartRun> first = startsAfterAccepting(job("a", 1, step(1, 8)));
 		startsAfterAccepting(job("b", 1, step(1, 8))).forEach(this::reportRunning);
 		assertThat(targetsAfterFailureOf(first)).isEmpty();
-		assertThat(targetsAfter(9_850)).isEmpty();
+		assertThat(targetsAfter(1_850)).isEmpty();
 		assertThat(targetsAfter(50)).containsExactly("t0");
 	}
 
