Retries are restricted when they are tried, and guaranteed ones only prefer workers

Cause: every pending failed unit was decided in every round, each time with several copies of all workers. A task restricted to some workers made its whole step unplaceable, and the order by the number of workers could not tell 'all but t0' from 'all but t1'. Guaranteed retries kept to the other workers for 1 s, and runs were stopped for them there although the failed worker was free.

Change: PlacementRound restricts the unit that it tries, after the check of unplaceable steps; proven workers are found once a round for each list of workers. Only an unrestricted unit makes its step unplaceable, and MOST_WORKERS_FIRST is gone; at most 16 retries of a step are tried in a round without success. A preference has no time limit and is checked by a placement with the round's capacity (reservations, freed room); waiting has a limit, and guaranteed units never wait. Nothing is preempted for a restricted unit that fits without the restriction.

Measured: three of the four new tests of SpreadAttemptsTests fail on the code before (guaranteed retry on a busy fleet, the last task on the free worker, number of decisions in a round); the fourth (guaranteed retry prefers another worker) passes on both. The time of a round on a large fleet was not measured again.

--- a/core/src/main/java/org/almondmount/workflow/attempt/FailedUnit.java
+++ b/core/src/main/java/org/almondmount/workflow/attempt/FailedUnit.java
@@ -30,19 +30,6 @@
 	 */
 	private static final long MAX_LATE_HOLD_MILLIS = 1_000;
 
-	/**
-	 * Time since the failure for which better workers that have free capacity are
-	 * preferred even if the unit may not wait, in milliseconds. It is limited because
-	 * that capacity may be reserved for other units.
-	 */
-	private static final long PREFERENCE_MILLIS = 1_000;
-
-	/**
-	 * Maximum age of a failure that still speaks against its worker, in milliseconds. A
-	 * faulty worker is replaced or sound again after some seconds.
-	 */
-	private static final long MAX_EVIDENCE_AGE_MILLIS = 10_000;
-
 	public FailedUnit {
 		failedOn = Set.copyOf(failedOn);
 	}
@@ -65,32 +52,13 @@
 		return Math.min(this.latestStartMillis, this.failedAtMillis + MAX_HOLD_MILLIS);
 	}
 
-	/**
-	 * Returns until when the last attempt goes to proven workers if they have room.
-	 * @return the end of the preference
-	 */
-	long preferProvenUntilMillis() {
-		return Math.max(holdUntilMillis(), this.failedAtMillis + PREFERENCE_MILLIS);
-	}
-
 	/**
 	 * Returns until when the unit rather waits for other workers than to be retried where
 	 * it failed. An attempt that is lost costs its caller more than a moment's delay.
 	 * @return the end of the wait
 	 */
 	long avoidUntilMillis() {
-		if (!this.mayWait) {
-			return this.failedAtMillis + PREFERENCE_MILLIS;
-		}
-		return this.failedAtMillis + MAX_HOLD_MILLIS;
-	}
-
-	/**
-	 * Returns until when the unit goes to other workers if they have room.
-	 * @return the end of the preference
-	 */
-	long preferOthersUntilMillis() {
-		return this.failedAtMillis + MAX_EVIDENCE_AGE_MILLIS;
+		return this.mayWait ? this.failedAtMillis + MAX_HOLD_MILLIS : this.failedAtMillis;
 	}
 
 }
--- a/core/src/main/java/org/almondmount/workflow/attempt/RetryDecision.java
+++ b/core/src/main/java/org/almondmount/workflow/attempt/RetryDecision.java
@@ -1,6 +1,7 @@
 package org.almondmount.workflow.attempt;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * The decision where a retry may be placed now. Immutable.
@@ -36,18 +37,17 @@
 	 */
 	public static <W> RetryDecision<W> of(long now, FailedUnit unit, List<W> workers, long workersKnownAtMillis,
 			WorkerView<W> view) {
-		List<W> failedOn = workers.stream().filter((worker) -> unit.failedOn().contains(view.name(worker))).toList();
-		if (failedOn.isEmpty()) {
-			return restrictToProven(new RetryDecision<>(RetryPlacement.UNRESTRICTED, workers, failedOn, now), now, unit,
-					view);
+		List<W> others = without(unit.failedOn(), workers, view);
+		if (others.size() == workers.size()) {
+			return restrictToProven(new RetryDecision<>(RetryPlacement.UNRESTRICTED, workers, List.of(), now), now,
+					unit, view);
 		}
-		List<W> others = workers.stream().filter((worker) -> !failedOn.contains(worker)).toList();
+		List<W> failedOn = workers.stream().filter((worker) -> unit.failedOn().contains(view.name(worker))).toList();
 		boolean othersCouldHold = view.couldHold(others);
 		if (!othersCouldHold && unit.mayWait() && now < workersKnownAtMillis) {
 			return new RetryDecision<>(RetryPlacement.AWAITING_WORKERS, List.of(), failedOn, workersKnownAtMillis);
 		}
-		boolean avoids = othersCouldHold
-				&& (now < unit.avoidUntilMillis() || now < unit.preferOthersUntilMillis() && view.hasRoom(others));
+		boolean avoids = othersCouldHold && (now < unit.avoidUntilMillis() || view.hasRoom(others));
 		return restrictToProven(
 				avoids ? new RetryDecision<>(RetryPlacement.AVOIDING_FAILED, others, failedOn, unit.avoidUntilMillis())
 						: new RetryDecision<>(RetryPlacement.REPEATING, workers, failedOn, now),
@@ -56,13 +56,17 @@
 
 	private static <W> RetryDecision<W> restrictToProven(RetryDecision<W> decision, long now, FailedUnit unit,
 			WorkerView<W> view) {
-		List<W> proven = decision.workers.stream().filter(view::isProven).toList();
-		if (!unit.lastAttempt() || proven.size() == decision.workers.size()) {
+		if (!unit.lastAttempt()) {
+			return decision;
+		}
+		List<W> proven = (decision.placement == RetryPlacement.AVOIDING_FAILED)
+				? without(unit.failedOn(), view.proven(), view) : view.proven();
+		if (proven.size() == decision.workers.size()) {
 			return decision;
 		}
 		long untilMillis = unit.holdUntilMillis();
 		boolean waits = now < untilMillis;
-		if (waits ? view.couldHold(proven) : now < unit.preferProvenUntilMillis() && view.hasRoom(proven)) {
+		if (view.couldHold(proven) && (waits || view.hasRoom(proven))) {
 			return new RetryDecision<>(RetryPlacement.ON_PROVEN, proven, decision.failedOn, untilMillis);
 		}
 		if (waits) {
@@ -71,4 +75,8 @@
 		return new RetryDecision<>(RetryPlacement.UNPROVEN, decision.workers, decision.failedOn, now);
 	}
 
+	private static <W> List<W> without(Set<String> names, List<W> workers, WorkerView<W> view) {
+		return workers.stream().filter((worker) -> !names.contains(view.name(worker))).toList();
+	}
+
 }
--- a/core/src/main/java/org/almondmount/workflow/attempt/WorkerView.java
+++ b/core/src/main/java/org/almondmount/workflow/attempt/WorkerView.java
@@ -17,11 +17,10 @@
 	String name(W worker);
 
 	/**
-	 * Whether a worker has recently shown that it completes what it starts.
-	 * @param worker the worker
-	 * @return whether it is proven
+	 * Returns the workers that have recently shown that they complete what they start.
+	 * @return the proven ones of all workers that may run a first attempt of the unit
 	 */
-	boolean isProven(W worker);
+	List<W> proven();
 
 	/**
 	 * Whether workers could hold all tasks of the unit if nothing else ran there.
@@ -31,9 +30,9 @@
 	boolean couldHold(List<W> workers);
 
 	/**
-	 * Whether workers have free capacity for all tasks of the unit.
+	 * Whether the unit can be placed on workers now.
 	 * @param workers the workers
-	 * @return whether the unit fits there now
+	 * @return whether they have room for all its tasks that is not kept for other units
 	 */
 	boolean hasRoom(List<W> workers);
 
--- a/core/src/main/java/org/almondmount/workflow/impl/PendingUnits.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PendingUnits.java
@@ -31,13 +31,6 @@
 	/** Within a group, the unit with the earliest latest start or the least work. */
 	private static final Comparator<WorkUnit> ORDER = GROUP_ORDER.thenComparingDouble(PendingUnits::rankWithinQueue);
 
-	/**
-	 * Once a task of a step does not fit, its other tasks are not tried. A task that may
-	 * use fewer workers must therefore come after those that may use more.
-	 */
-	private static final Comparator<WorkUnit> MOST_WORKERS_FIRST = Comparator
-		.comparingInt((WorkUnit unit) -> -unit.workers().size());
-
 	private final SchedulerState state;
 
 	private final RetryPlanner retryPlanner;
@@ -47,9 +40,9 @@
 	/** Workers by pool and required label, cached for the current round. */
 	private final Map<List<String>, List<Worker>> eligible = new HashMap<>();
 
-	PendingUnits(SchedulerState state) {
+	PendingUnits(SchedulerState state, RetryPlanner retryPlanner) {
 		this.state = state;
-		this.retryPlanner = new RetryPlanner(state);
+		this.retryPlanner = retryPlanner;
 	}
 
 	/**
@@ -115,20 +108,19 @@
 			if (step.allIdle()) {
 				WorkUnit gang = new WorkUnit(queue, step, step.tasks(), eligible, deadline, guaranteed,
 						isolation(step.tasks()));
-				this.retryPlanner.restrict(gang).ifPresent(units::add);
+				this.retryPlanner.forgetUnusedAttempts(gang);
+				units.add(gang);
 			}
 			return;
 		}
-		List<WorkUnit> singles = new ArrayList<>();
 		for (TaskState task : step.tasks()) {
 			if (task.idle() && !task.done()) {
 				List<TaskState> tasks = List.of(task);
 				WorkUnit single = new WorkUnit(queue, step, tasks, eligible, deadline, guaranteed, isolation(tasks));
-				this.retryPlanner.restrict(single).ifPresent(singles::add);
+				this.retryPlanner.forgetUnusedAttempts(single);
+				units.add(single);
 			}
 		}
-		singles.sort(MOST_WORKERS_FIRST);
-		units.addAll(singles);
 	}
 
 	private IsolationLevel isolation(List<TaskState> tasks) {
--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -62,6 +62,8 @@
 
 	private final RunLifecycle runLifecycle;
 
+	private final RetryPlanner retryPlanner;
+
 	private final PendingUnits pendingUnits;
 
 	private final Placer placer;
@@ -90,7 +92,8 @@
 	PlacementRound(SchedulerState state, RunLifecycle runLifecycle) {
 		this.state = state;
 		this.runLifecycle = runLifecycle;
-		this.pendingUnits = new PendingUnits(state);
+		this.retryPlanner = new RetryPlanner(state);
+		this.pendingUnits = new PendingUnits(state, this.retryPlanner);
 		this.sharing = new CustomerSharing(state);
 		this.placer = new Placer(state.policy(), state::steadyMillis, state::speedProfile);
 		this.preemptionPlanner = new PreemptionPlanner(state, this.placer);
@@ -110,37 +113,58 @@
 		this.preemptedPlacements.keySet().retainAll(firstTasks);
 		this.reservations.clear();
 		this.unplaceableSteps.clear();
+		this.retryPlanner.beginRound();
 		SharedOrder<WorkUnit> order = this.sharing.beginRound(units);
 		while (order.hasNext()) {
 			WorkUnit unit = order.next();
 			if (!this.unplaceableSteps.contains(unit.step())) {
-				place(unit, order.overtaker());
+				tryPlace(unit, order.overtaker());
 			}
 		}
 	}
 
-	private void place(WorkUnit unit, Optional<String> overtaker) {
-		Optional<Map<TaskState, Worker>> found = this.placer.place(unit, unit.workers(), () -> capacityFor(unit))
-			.or(() -> placeOnPreemptedCapacity(unit));
+	private void tryPlace(WorkUnit unit, Optional<String> overtaker) {
+		boolean roomIsFreed = this.preemptedPlacements.containsKey(unit.firstTask());
+		if (!roomIsFreed && this.retryPlanner.triesUsedUp(unit)) {
+			return;
+		}
+		Optional<WorkUnit> restricted = this.retryPlanner.restrict(unit, () -> capacityFor(unit));
+		if (restricted.isEmpty()) {
+			this.preemptedPlacements.remove(unit.firstTask());
+		}
+		if (restricted.isEmpty() || !place(restricted.get(), unit, overtaker)) {
+			this.retryPlanner.countFailedTry(unit);
+		}
+	}
+
+	private boolean place(WorkUnit unit, WorkUnit unrestricted, Optional<String> overtaker) {
+		Optional<Map<TaskState, Worker>> found = find(unit);
 		if (found.isPresent()) {
 			this.preemptedPlacements.remove(unit.firstTask());
 			this.runLifecycle.open(unit, found.get());
 			this.sharing.onPlaced(unit);
-			return;
+			return true;
 		}
-		if (!this.preemptedPlacements.containsKey(unit.firstTask())) {
+		boolean waitsForBetterWorkers = unit != unrestricted && find(unrestricted).isPresent();
+		if (!waitsForBetterWorkers && !this.preemptedPlacements.containsKey(unit.firstTask())) {
 			tryPreempt(unit);
 		}
 		if (this.preemptedPlacements.containsKey(unit.firstTask())) {
-			return;
+			return false;
 		}
 		overtaker.or(() -> customerHoldingOff(unit)).ifPresent((other) -> this.sharing.explainWait(unit, other));
 		Optional<ReservationScope> scope = claimReservation(unit);
 		scope.ifPresent((claimed) -> reserve(unit, claimed));
 		boolean nextTaskMayReserve = scope.filter(ReservationScope.ALL::equals).isPresent();
-		if (!nextTaskMayReserve && !unit.guaranteed()) {
+		if (unit == unrestricted && !nextTaskMayReserve && !unit.guaranteed()) {
 			this.unplaceableSteps.add(unit.step());
 		}
+		return false;
+	}
+
+	private Optional<Map<TaskState, Worker>> find(WorkUnit unit) {
+		return this.placer.place(unit, unit.workers(), () -> capacityFor(unit))
+			.or(() -> placeOnPreemptedCapacity(unit));
 	}
 
 	// Capacity that was freed across several racks is not found by a search that
--- a/core/src/test/java/org/almondmount/workflow/SpreadAttemptsTests.java
+++ b/core/src/test/java/org/almondmount/workflow/SpreadAttemptsTests.java
@@ -98,6 +98,52 @@
 		assertThat(targetsAfterFailureOf(starts(this.commands))).containsExactly("t2");
 	}
 
+	// Guards against guaranteed work that waits, or that stops the work of others, for
+	// the sake of a better worker: the only free worker is the one where it failed.
+	@Test
+	void guaranteedRetryOnABusyFleetStartsAtOnceWhereItFailed() {
+		beginTerm(3);
+		List<WorkflowCommand.StartRun> first = startsAfterAccepting(job("a", 0, step(1, 8)));
+		startsAfterAccepting(jobOf("other", "b", 1, step(2, 8))).forEach(this::reportRunning);
+		assertThat(targetsAfterFailureOf(first)).containsExactlyElementsOf(targets(first));
+		assertThat(stops(this.commands)).isEmpty();
+	}
+
+	@Test
+	void guaranteedRetryPrefersAnotherWorkerWithRoom() {
+		beginTerm(3);
+		List<WorkflowCommand.StartRun> first = startsAfterAccepting(job("a", 0, step(1, 8)));
+		assertThat(targetsAfterFailureOf(first)).hasSize(1).doesNotContainAnyElementsOf(targets(first));
+	}
+
+	// Guards against a task that could run but is not tried because other retries of its
+	// step do not fit: the others failed on the free worker, this one did not.
+	@Test
+	void retriesThatDoNotFitDoNotKeepTheLastTaskFromTheFreeWorker() {
+		beginTerm(3);
+		List<WorkflowCommand.StartRun> tasks = startsAfterAccepting(job("a", 1, step(5, 2)));
+		assertThat(targets(tasks)).containsExactly("t0", "t0", "t0", "t0", "t1");
+		startsAfterAccepting(job("b", 1, step(1, 8))).forEach(this::reportRunning);
+		startsAfterPersisting(reportEnd(tasks.get(4), RunOutcome.FAILED));
+		startsAfterAccepting(job("c", 1, step(1, 8))).forEach(this::reportRunning);
+		assertThat(targetsAfterFailureOf(tasks.subList(0, 4))).containsExactly("t0");
+	}
+
+	// Guards against rounds that take seconds after an outbreak in which thousands of
+	// tasks of one step failed on a full fleet.
+	@Test
+	void onlySomeRetriesOfAStepAreDecidedInARound() {
+		beginTerm(4);
+		List<WorkflowCommand.StartRun> tasks = startsAfterAccepting(job("a", 1, step(32, 1)));
+		tasks.forEach((start) -> startsAfterPersisting(reportEnd(start, RunOutcome.FAILED)));
+		startsAfterAccepting(job("b", 1, step(4, 8))).forEach(this::reportRunning);
+		this.commands.clear();
+		assertThat(targetsAfter(100)).isEmpty();
+		assertThat(this.commands)
+			.filteredOn(new WorkflowCommand.CountDecision(LoadDecision.FAILED_WORKER_AVOIDED)::equals)
+			.hasSize(16);
+	}
+
 	@Test
 	void jobThatCannotBeDoneFailsAfterItsAttempts() {
 		beginTerm(3);
@@ -159,6 +205,10 @@
 		assertThat(targetsAfterFailureOf(starts(this.commands))).isEmpty();
 	}
 
+	private static List<String> targets(List<WorkflowCommand.StartRun> starts) {
+		return starts.stream().map(WorkflowCommand.StartRun::target).toList();
+	}
+
 	private List<String> targetsAfterFailureOf(List<WorkflowCommand.StartRun> starts) {
 		this.commands.clear();
 		starts.forEach((start) -> startsAfterPersisting(reportEnd(start, RunOutcome.FAILED)));
