Retries are planned for one by one, and reservations measure the unrestricted workers

Cause: preemption for an urgent step planned for all its idle tasks with the workers of the first one, also for tasks that may use others or wait. Whether half of the fleet is in use was measured on the workers to which a retry is restricted.

The use of the fleet and the reserved share are measured on the workers without the restriction.

Measured: UrgentBurst, LimitedPreemption, Sharing, GuaranteedGang, PlacementRules, WorkflowScheduler, InheritedRuns and FailureOutbreak tests pass. No test of its own shows the change.

--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -154,7 +154,7 @@
 		}
 		overtaker.or(() -> customerHoldingOff(unit)).ifPresent((other) -> this.sharing.explainWait(unit, other));
 		Optional<ReservationScope> scope = claimReservation(unit);
-		scope.ifPresent((claimed) -> reserve(unit, claimed));
+		scope.ifPresent((claimed) -> reserve(unit, claimed, unrestricted));
 		boolean nextTaskMayReserve = scope.filter(ReservationScope.ALL::equals).isPresent();
 		if (unit == unrestricted && !nextTaskMayReserve && !unit.guaranteed()) {
 			this.unplaceableSteps.add(unit.step());
@@ -184,9 +184,9 @@
 		return worthReserving ? this.reservations.claim(unit, this.sharing.shareOf(unit)) : Optional.empty();
 	}
 
-	private void reserve(WorkUnit unit, ReservationScope scope) {
+	private void reserve(WorkUnit unit, ReservationScope scope, WorkUnit unrestricted) {
 		boolean additional = scope != ReservationScope.ALL;
-		if (!isHalfOfFleetUsed(unit) || (additional && this.reservations.wouldReserveTooMuch(unit))) {
+		if (!isHalfOfFleetUsed(unrestricted) || (additional && this.reservations.wouldReserveTooMuch(unrestricted))) {
 			return;
 		}
 		List<Reservation> earlier = this.sharing.active() ? this.reservations.all() : List.of();
@@ -264,14 +264,18 @@
 	// that have just begun or that save checkpoints lose little by preemption. Runs are
 	// preempted only if all tasks of the step fit afterwards: one task in time does not
 	// help a job whose other tasks wait. Stopping runs takes time as well, so a short job
-	// gains nothing by it.
+	// gains nothing by it. Retries may use other workers and are planned for one by one.
 	private void preemptBeyondGuarantee(WorkUnit unit) {
 		boolean stopsInTime = this.state.wallMillis() + this.state.policy().stopTimeoutMillis() <= unit.deadline()
 			.latestStartMillis();
 		if (!stopsInTime) {
 			return;
 		}
-		WorkUnit unplacedTasks = unit.withTasks(unit.step().tasks().stream().filter(this::needsPlacement).toList());
+		WorkUnit unplacedTasks = unit.withTasks(unit.step()
+			.tasks()
+			.stream()
+			.filter((task) -> needsPlacement(task) && this.retryPlanner.sharesWorkers(unit, task))
+			.toList());
 		double ownCoreSeconds = DeadlineEstimate.coreSeconds(unit.step(), unplacedTasks.tasks().size());
 		Optional<PreemptionPlanner.Plan> plan = plan(unplacedTasks,
 				(run) -> isPreemptible(run) && canRestartInTime(run, unit.step().expectedMillis()));
--- a/core/src/main/java/org/almondmount/workflow/impl/RetryPlanner.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RetryPlanner.java
@@ -87,6 +87,16 @@
 				&& spreadsAttempts(this.state, unit.queue());
 	}
 
+	/**
+	 * Whether room for a task of a unit's step may be planned together with the unit.
+	 * @param unit the unit
+	 * @param task the task
+	 * @return whether it is a task of the unit, or both are first attempts
+	 */
+	boolean sharesWorkers(WorkUnit unit, TaskState task) {
+		return unit.tasks().contains(task) || !(mayRestrict(unit, task) || mayRestrict(unit, unit.firstTask()));
+	}
+
 	/**
 	 * Whether so many retries of a unit's step did not fit in this round that the unit is
 	 * not tried.
