A failure reported before the queue is known keeps its place

Cause: a new holder that had not read the queue yet counted the failure but not where it happened, so the retry could go there again.

Change: the place is recorded if the queue is unknown and the policy has the feature; the next placement forgets it if the queue has no spare attempts.

Measured: failureReportedBeforeTheQueueIsKnownKeepsItsPlace fails without the change and passes with it; its counterpart without spare attempts passes on both.

--- a/core/src/main/java/org/almondmount/workflow/attempt/RetryPlacement.java
+++ b/core/src/main/java/org/almondmount/workflow/attempt/RetryPlacement.java
@@ -16,8 +16,8 @@
 	AVOIDING_FAILED("retry-avoids-workers", LoadDecision.FAILED_WORKER_AVOIDED),
 
 	/**
-	 * Also on workers where the unit has failed, since the others could not hold it or
-	 * are busy for too long.
+	 * Also on workers where the unit has failed, since the others could not hold it, or
+	 * have no room and the unit does not wait any longer.
 	 */
 	REPEATING("retry-may-repeat-worker", null),
 
--- a/core/src/main/java/org/almondmount/workflow/impl/RunLifecycle.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RunLifecycle.java
@@ -296,12 +296,14 @@
 		failIfExhausted(job, run.task(), failures);
 	}
 
+	// A new holder may receive the report of a failure before it has read the queue. The
+	// next placement forgets the attempt if the queue has no spare ones.
 	private void recordFailedAttempt(Run run) {
 		long now = this.state.steadyMillis();
 		StepState step = run.task().step();
 		boolean spreads = this.state.queueOf(step.job())
 			.map((queue) -> RetryPlanner.spreadsAttempts(this.state, queue))
-			.orElse(false);
+			.orElseGet(() -> this.state.policy().isEnabled(SchedulerFeature.SPREAD_ATTEMPTS));
 		if (spreads) {
 			step.failureCountOwner(run.task())
 				.attempts()
--- a/core/src/test/java/org/almondmount/workflow/SpreadAttemptsTests.java
+++ b/core/src/test/java/org/almondmount/workflow/SpreadAttemptsTests.java
@@ -164,6 +164,18 @@
 		assertThat(startsAfterReportToNewHolder(1)).hasSize(1);
 	}
 
+	// Guards against a failure that is counted without its place: it is reported to a new
+	// holder that has not read the queue yet.
+	@Test
+	void failureReportedBeforeTheQueueIsKnownKeepsItsPlace() {
+		assertThat(failedAttemptsAfterReportWithoutQueues(3)).containsExactly("w0");
+	}
+
+	@Test
+	void failureReportedBeforeTheQueueIsKnownIsForgottenWithoutSpareAttempts() {
+		assertThat(failedAttemptsAfterReportWithoutQueues(2)).isEmpty();
+	}
+
 	@Test
 	void recordWithoutFailedAttemptsRestrictsNothing() {
 		beginTermWith(failedOnce());
@@ -199,6 +211,30 @@
 				List.of(new FleetCustomer("c", Set.of("k"), 8)))));
 	}
 
+	/** Returns the workers in the record of the retry. */
+	private List<String> failedAttemptsAfterReportWithoutQueues(int maxAttempts) {
+		beginTerm(1);
+		List<WorkflowCommand> accepted = feed(new WorkflowEvent.JobAccepted(job("a", 1, step(1, 1))));
+		TaskRecord task = requirePersist(accepted).records().get(0).tasks().get(0);
+		WorkflowCommand.StartRun start = startsAfterPersisting(accepted).get(0);
+		feed(new WorkflowEvent.ConfigurationChanged(new FleetConfiguration(3, List.of(), List.of("pool"),
+				List.of(new FleetCustomer("c", Set.of("k"), 8)))));
+		beginTermWith(task);
+		startsAfterPersisting(reportEnd(start, RunOutcome.FAILED));
+		this.commands.clear();
+		allowAttempts(4, maxAttempts);
+		this.now += 1_100;
+		assertThat(startsAfterReportToNewHolder(0)).hasSize(1);
+		return requirePersist(this.commands).records()
+			.get(0)
+			.tasks()
+			.get(0)
+			.failedAttempts()
+			.stream()
+			.map((attempt) -> attempt.incarnation().worker())
+			.toList();
+	}
+
 	/** Leaves the last attempt to be made. */
 	private void failTwice(Workflow job) {
 		targetsAfterFailureOf(startsAfterAccepting(job));
