--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -66,6 +66,8 @@
 
 	private final RunLifecycle runLifecycle;
 
+	private final RetryPlanner retryPlanner;
+
 	private final PendingUnits pendingUnits;
 
 	private final Placer placer;
@@ -91,7 +93,8 @@
 	PlacementRound(SchedulerState state, RunLifecycle runLifecycle) {
 		this.state = state;
 		this.runLifecycle = runLifecycle;
-		this.pendingUnits = new PendingUnits(state);
+		this.retryPlanner = new RetryPlanner(state);
+		this.pendingUnits = new PendingUnits(state, this.retryPlanner);
 		this.sharing = new CustomerSharing(state);
 		this.placer = new Placer(state.policy(), state::steadyMillis, state::speedProfile);
 		this.preemptionPlanner = new PreemptionPlanner(this.placer);
@@ -111,41 +114,64 @@
 		this.preemptedPlacements.keySet().retainAll(firstTasks);
 		this.reservations.clear();
 		this.unplaceableSteps.clear();
+		this.retryPlanner.beginRound();
 		SharedOrder<WorkUnit> order = this.sharing.beginRound(units);
 		while (order.hasNext()) {
 			WorkUnit unit = order.next();
 			if (!this.unplaceableSteps.contains(unit.step())) {
-				place(unit, order.overtaker());
+				tryPlace(unit, order.overtaker());
 			}
 		}
 	}
 
-	private void place(WorkUnit unit, Optional<String> overtaker) {
-		Optional<Map<TaskState, Worker>> found = this.placer.place(unit, unit.workers(), () -> capacityFor(unit))
-			.or(() -> placeOnPreemptedCapacity(unit));
+	private void tryPlace(WorkUnit unit, Optional<String> overtaker) {
+		boolean roomIsFreed = this.preemptedPlacements.containsKey(unit.firstTask());
+		if (!roomIsFreed && this.retryPlanner.triesUsedUp(unit)) {
+			return;
+		}
+		Optional<WorkUnit> restricted = this.retryPlanner.restrict(unit, () -> capacityFor(unit));
+		if (restricted.isEmpty()) {
+			this.preemptedPlacements.remove(unit.firstTask());
+		}
+		if (restricted.isEmpty() || !place(restricted.get(), unit, overtaker)) {
+			this.retryPlanner.countFailedTry(unit);
+		}
+	}
+
+	private boolean place(WorkUnit unit, WorkUnit unrestricted, Optional<String> overtaker) {
+		Optional<Map<TaskState, Worker>> found = find(unit);
 		if (found.isPresent()) {
 			this.preemptedPlacements.remove(unit.firstTask());
 			this.runLifecycle.open(unit, found.get());
 			this.sharing.onPlaced(unit);
-			return;
+			return true;
 		}
 		if (!isPreemptedPlacementUsable(unit)) {
 			this.preemptedPlacements.remove(unit.firstTask());
+		}
+		boolean waitsForBetterWorkers = unit != unrestricted && find(unrestricted).isPresent();
+		if (!waitsForBetterWorkers && !this.preemptedPlacements.containsKey(unit.firstTask())) {
 			tryPreempt(unit);
 		}
 		if (this.preemptedPlacements.containsKey(unit.firstTask())) {
-			return;
+			return false;
 		}
 		overtaker.ifPresent((other) -> this.sharing.explainWait(unit, other));
 		boolean worthReserving = this.state.has(SchedulerFeature.RESERVE_ROOM)
 				&& !unit.deadline().timeliness().waitsBehindAll();
 		if (worthReserving && this.reservations.size() < MAX_RESERVATIONS) {
-			reserve(unit);
-			return;
+			reserve(unit, unrestricted);
+			return false;
 		}
-		if (!unit.guaranteed()) {
+		if (unit == unrestricted && !unit.guaranteed()) {
 			this.unplaceableSteps.add(unit.step());
 		}
+		return false;
+	}
+
+	private Optional<Map<TaskState, Worker>> find(WorkUnit unit) {
+		return this.placer.place(unit, unit.workers(), () -> capacityFor(unit))
+			.or(() -> placeOnPreemptedCapacity(unit));
 	}
 
 	// A worker that is paused for a moment will be usable again, so the unit keeps the
@@ -166,8 +192,8 @@
 		return Placer.fillInOrder(unit, workers, capacityFor(unit));
 	}
 
-	private void reserve(WorkUnit unit) {
-		if (isHalfOfFleetUsed(unit)) {
+	private void reserve(WorkUnit unit, WorkUnit unrestricted) {
+		if (isHalfOfFleetUsed(unrestricted)) {
 			earliestReservation(unit).ifPresent(this.reservations::add);
 		}
 	}
@@ -218,14 +244,18 @@
 	// that have just begun or that save checkpoints lose little by preemption. Runs are
 	// preempted only if all tasks of the step fit afterwards: one task in time does not
 	// help a job whose other tasks wait. Stopping runs takes time as well, so a short job
-	// gains nothing by it.
+	// gains nothing by it. Retries may use other workers and are planned for one by one.
 	private void preemptBeyondGuarantee(WorkUnit unit) {
 		boolean stopsInTime = this.state.wallMillis() + this.state.policy().stopTimeoutMillis() <= unit.deadline()
 			.latestStartMillis();
 		if (!stopsInTime) {
 			return;
 		}
-		WorkUnit unplacedTasks = unit.withTasks(unit.step().tasks().stream().filter(this::needsPlacement).toList());
+		WorkUnit unplacedTasks = unit.withTasks(unit.step()
+			.tasks()
+			.stream()
+			.filter((task) -> needsPlacement(task) && this.retryPlanner.sharesWorkers(unit, task))
+			.toList());
 		double ownCoreSeconds = DeadlineEstimate.coreSeconds(unit.step(), unplacedTasks.tasks().size());
 		plan(unplacedTasks, (run) -> isPreemptible(run) && canRestartInTime(run, unit.step().expectedMillis()))
 			.filter((plan) -> plan.cost() <= ownCoreSeconds * MAX_PREEMPTION_COST_RATIO)
