--- a/core/src/main/java/org/almondmount/workflow/SchedulerFeature.java
+++ b/core/src/main/java/org/almondmount/workflow/SchedulerFeature.java
@@ -59,8 +59,12 @@
 	/** Blames the worker for a run that fails right after its start. */
 	BLAME_EARLY_FAILURES(FeatureTrigger.SPARE_ATTEMPTS),
 
-	/** Keeps the burst of one customer from delaying the jobs of the others. */
-	SHARE_BETWEEN_CUSTOMERS(FeatureTrigger.UNEVEN_GUARANTEES),
+	/**
+	 * Keeps the burst of one customer from delaying the jobs of the others. Operators
+	 * decide whether a customer above its entitlement shall wait, so it is disabled by
+	 * default.
+	 */
+	SHARE_BETWEEN_CUSTOMERS(FeatureTrigger.UNEVEN_GUARANTEES, false),
 
 	/**
 	 * Learns the speeds of workers, and keeps fast ones for jobs with tight objectives.
@@ -70,14 +74,38 @@
 	/** All features. */
 	public static final Set<SchedulerFeature> ALL = Collections.unmodifiableSet(EnumSet.allOf(SchedulerFeature.class));
 
+	/** The features that are enabled unless settings say otherwise. */
+	public static final Set<SchedulerFeature> DEFAULTS = Collections.unmodifiableSet(defaults());
+
 	private final FeatureTrigger trigger;
 
+	private final boolean enabledByDefault;
+
 	SchedulerFeature() {
 		this(FeatureTrigger.ALWAYS);
 	}
 
 	SchedulerFeature(FeatureTrigger trigger) {
+		this(trigger, true);
+	}
+
+	SchedulerFeature(FeatureTrigger trigger, boolean enabled) {
 		this.trigger = trigger;
+		this.enabledByDefault = enabled;
+	}
+
+	private static Set<SchedulerFeature> defaults() {
+		EnumSet<SchedulerFeature> defaults = EnumSet.allOf(SchedulerFeature.class);
+		defaults.removeIf((feature) -> !feature.enabledByDefault);
+		return defaults;
+	}
+
+	/**
+	 * Returns whether the feature is enabled unless settings say otherwise.
+	 * @return whether it is one of the defaults
+	 */
+	public boolean enabledByDefault() {
+		return this.enabledByDefault;
 	}
 
 	/**
--- a/core/src/main/java/org/almondmount/workflow/SchedulerPolicy.java
+++ b/core/src/main/java/org/almondmount/workflow/SchedulerPolicy.java
@@ -29,7 +29,7 @@
 	 * slowest workers known take 0.9 s to end a run.
 	 */
 	public static final SchedulerPolicy DEFAULT = new SchedulerPolicy(6_000, 2_500, 800, 300, 900, 600_000,
-			Checkpointing.DEFAULT, SchedulerFeature.ALL);
+			Checkpointing.DEFAULT, SchedulerFeature.DEFAULTS);
 
 	/** Leases are timed by the worker's clock, which may be 2 % slow. */
 	private static final double MAX_CLOCK_SLOWDOWN = 1.02;
--- a/core/src/test/java/org/almondmount/workflow/SharingRulesTests.java
+++ b/core/src/test/java/org/almondmount/workflow/SharingRulesTests.java
@@ -15,6 +15,11 @@
  */
 class SharingRulesTests extends SchedulerFixture {
 
+	@Override
+	SchedulerPolicy policy() {
+		return SchedulerPolicy.DEFAULT.withFeatures(SchedulerFeature.ALL);
+	}
+
 	@BeforeEach
 	void configureUnevenGuarantees() {
 		configure(2, new FleetCustomer("c", Set.of("k"), 8), new FleetCustomer("other", Set.of("o"), 32));
--- a/fleet/src/main/java/org/almondmount/fleet/rehearsal/FleetRehearsal.java
+++ b/fleet/src/main/java/org/almondmount/fleet/rehearsal/FleetRehearsal.java
@@ -135,7 +135,7 @@
 	private static FleetSettings settings(String name) throws IOException {
 		return new FleetSettings(name, "zone", new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort()),
 				"a key for the rehearsal alone", LEASE, Duration.ofSeconds(2), Duration.ofSeconds(1),
-				Duration.ofMillis(200), Duration.ofMinutes(2), Checkpointing.DEFAULT, SchedulerFeature.ALL);
+				Duration.ofMillis(200), Duration.ofMinutes(2), Checkpointing.DEFAULT, SchedulerFeature.DEFAULTS);
 	}
 
 	private static int freePort() throws IOException {
--- a/runtime/src/main/java/org/almondmount/settings/impl/SettingsReader.java
+++ b/runtime/src/main/java/org/almondmount/settings/impl/SettingsReader.java
@@ -163,7 +163,7 @@
 	private static Set<SchedulerFeature> features(Section section) {
 		Set<SchedulerFeature> features = EnumSet.noneOf(SchedulerFeature.class);
 		for (SchedulerFeature feature : SchedulerFeature.values()) {
-			if (section.flag(feature.key(), true)) {
+			if (section.flag(feature.key(), feature.enabledByDefault())) {
 				features.add(feature);
 			}
 		}
