--- a/review/standins/Cluster.java
+++ b/review/standins/Cluster.java
@@ -224,7 +224,7 @@
 				+ "\nregion=kingston\ninternal_port_range=7000,7015\nseed_nodes=\nbootstrap=true\n"
 				+ "limits.cpu_cores=1\nlimits.link_mbps=1000.0\nlimits.disk_mb=0\ndiscovery=local\n"
 				+ "entry_point=virtual_ip\nheartbeat_interval_ms=1500\n"
-				+ "contracts=base,drain,config,cost,recover,sched,tenants,places,platform\n" + BOUNDS
+				+ "contracts=base,drain,config,cost,recover,sched,tenants,places,platform,advice,upkeep,sharing\n" + BOUNDS
 				+ "\norders=call\nplatform.address=" + this.network + ".0.7:" + STORE_PORT
 				+ "\nplatform.form=table\nplatform.writes_per_s=800\nplatform.reads_per_s=2000\n"
 				+ "platform.transaction_ms=5.0\nplatform.part_writes_per_s=200\nplatform.row_bytes=65536\n"
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -43,7 +43,7 @@
 
 	private long version = 1;
 
-	private volatile boolean busy;
+	private volatile boolean down;
 
 	Store(InetSocketAddress address, ExecutorService executor) throws IOException {
 		this.server = HttpServer.create(address, 1024);
@@ -54,9 +54,9 @@
 		this.server.start();
 	}
 
-	/** Answers each call with 503, which means that nothing was done, or serves calls again. */
-	void busy(boolean turnsAway) {
-		this.busy = turnsAway;
+	/** Closes the channel of each call without an answer and does nothing, or serves calls again. */
+	void down(boolean isDown) {
+		this.down = isDown;
 	}
 
 	/** Writes a row as the operator. */
@@ -69,9 +69,8 @@
 	}
 
 	private void serve(HttpExchange exchange, HttpHandler handler) throws IOException {
-		if (this.busy) {
-			exchange.getRequestBody().readAllBytes();
-			Json.answer(exchange, 503, Json.object());
+		if (this.down) {
+			exchange.close();
 			return;
 		}
 		handler.handle(exchange);
--- a/review/standins/TruncatedEnds.java
+++ b/review/standins/TruncatedEnds.java
@@ -64,10 +64,10 @@
 			Store.pause(2);
 		}
 		if (trouble) {
-			record.line("the store is down: it answers 503");
-			cluster.store.busy(true);
+			record.line("the store is down: it closes each channel without an answer");
+			cluster.store.down(true);
 			Store.pause(OUTAGE_MILLIS);
-			cluster.store.busy(false);
+			cluster.store.down(false);
 			record.line("the store is up again");
 		}
 		String open = jobs.get(0);
