A truncated list of ends does not show that a run never started

Cause: a worker lists 500 ends at a time. After an outage more than that wait, a new holder orders inherited runs that are in no list to be stopped, the worker answers the stop of a run that has ended as any other, and the next poll names the run in neither list because its end is beyond the listed ones. The target took that for "never started".

A poll answer now says whether its list of ends may be truncated (the platform's client knows the bound), and only an answer that lists all ends confirms a stop by a run's absence. The wait ends by itself: each acknowledgement makes the worker list the following ends. ends-truncated logs when lists begin and cease to be truncated.

--- a/core/src/main/java/org/almondmount/worker/WorkerEvent.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerEvent.java
@@ -72,17 +72,25 @@
 	 * @param pollNumber the poll's number
 	 * @param incarnation the incarnation that answered
 	 * @param clockMillis the worker's clock when it answered
-	 * @param running the active runs
-	 * @param ended the runs that ended and were not acknowledged
+	 * @param running all active runs
+	 * @param ended the runs that ended and were not acknowledged, the earliest first
+	 * @param endsTruncated whether there may be further ends that are not listed
 	 */
 	record PollAnswered(long pollNumber, WorkerIncarnation incarnation, long clockMillis,
-			List<WorkerReport.Running> running, List<WorkerReport.Ended> ended) implements WorkerEvent {
+			List<WorkerReport.Running> running, List<WorkerReport.Ended> ended,
+			boolean endsTruncated) implements WorkerEvent {
 
 		public PollAnswered {
 			running = List.copyOf(running);
 			ended = List.copyOf(ended);
 		}
 
+		/** Creates an answer that lists all ends. */
+		public PollAnswered(long pollNumber, WorkerIncarnation incarnation, long clockMillis,
+				List<WorkerReport.Running> running, List<WorkerReport.Ended> ended) {
+			this(pollNumber, incarnation, clockMillis, running, ended, false);
+		}
+
 	}
 
 	/**
--- a/core/src/main/java/org/almondmount/worker/WorkerManager.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerManager.java
@@ -77,6 +77,9 @@
 
 	private List<WorkerReport.Running> running = List.of();
 
+	/** Whether the last answer may lack ends. */
+	private boolean endsTruncated;
+
 	private long workerClockMillis;
 
 	private long workerClockReadAt;
@@ -393,6 +396,7 @@
 		this.lastAnnouncement = 0;
 		this.running = List.of();
 		this.unacknowledgedEnds.clear();
+		this.endsTruncated = false;
 		this.orders.clear();
 		this.acknowledgedEnd = 0;
 		this.leavingNoticeAt = Long.MIN_VALUE;
@@ -440,9 +444,18 @@
 		}
 		this.polledSinceReport = true;
 		updateRuns(answer);
+		recordTruncation(answer);
 		confirmStops(answer);
 	}
 
+	private void recordTruncation(WorkerEvent.PollAnswered answer) {
+		if (answer.endsTruncated() != this.endsTruncated) {
+			this.endsTruncated = answer.endsTruncated();
+			this.commands.add(WorkerCommand.LogDecision.of("ends-truncated", "truncated", this.endsTruncated, "listed",
+					answer.ended().size(), "after", this.acknowledgedEnd, "orders", this.orders.size()));
+		}
+	}
+
 	private void updateRuns(WorkerEvent.PollAnswered answer) {
 		for (WorkerReport.Ended end : answer.ended()) {
 			if (end.sequence() > this.acknowledgedEnd && this.unacknowledgedEnds.put(end.sequence(), end) == null) {
@@ -468,8 +481,13 @@
 	}
 
 	// A run that was ordered to stop, and that is in neither list of a poll sent after
-	// the stop was answered, was never started and will be refused from now on.
+	// the stop was answered, was never started and will be refused from now on. A
+	// truncated list may lack its end; the worker lists further ends once the holder has
+	// recorded those before them.
 	private void confirmStops(WorkerEvent.PollAnswered answer) {
+		if (answer.endsTruncated()) {
+			return;
+		}
 		for (OrderedRun run : List.copyOf(this.orders.values())) {
 			TaskId task = run.order().task();
 			int number = run.order().run();
--- a/core/src/test/java/org/almondmount/worker/WorkerManagerTests.java
+++ b/core/src/test/java/org/almondmount/worker/WorkerManagerTests.java
@@ -300,6 +300,40 @@
 		assertThat(this.commands).noneMatch(WorkerCommand.SendRunNotStarted.class::isInstance);
 	}
 
+	// Guards against a task that is started again although its run is done: the end is
+	// beyond a truncated list, and the holder of a new term orders the run to be stopped.
+	@Test
+	void aRunWhoseEndMayNotBeListedIsNotReportedAsNotStarted() {
+		connectWithLease();
+		feed(new WorkerEvent.HolderConnected(2));
+		feed(new WorkerEvent.StopOrdered(2, INCARNATION, TASK, 1));
+		feed(new WorkerEvent.StopCallEnded(TASK, 1, CallOutcome.DONE));
+		TaskId earlier = new TaskId("j", 0, 0, 1);
+		WorkerReport.Ended earlierEnd = new WorkerReport.Ended(1, earlier, 1, RunOutcome.DONE, "");
+		feed(new WorkerEvent.PollAnswered(lastPoll().pollNumber(), INCARNATION, 900, List.of(), List.of(earlierEnd),
+				true));
+		assertThat(this.commands).noneMatch(WorkerCommand.SendRunNotStarted.class::isInstance);
+		feed(new WorkerEvent.EndsRecorded(2, INCARNATION, 1));
+		WorkerReport.Ended end = new WorkerReport.Ended(2, TASK, 1, RunOutcome.DONE, "");
+		feed(new WorkerEvent.PollAnswered(lastPoll().pollNumber(), INCARNATION, 900, List.of(), List.of(end)));
+		assertThat(this.commands).noneMatch(WorkerCommand.SendRunNotStarted.class::isInstance)
+			.anyMatch((command) -> command instanceof WorkerCommand.SendReport report
+					&& report.report().ended().contains(end));
+	}
+
+	// Guards against a stop that is never confirmed because a list was truncated once.
+	@Test
+	void aRunThatNeverStartedIsReportedOnceAllEndsAreListed() {
+		connectWithLease();
+		feed(new WorkerEvent.StopOrdered(1, INCARNATION, TASK, 1));
+		feed(new WorkerEvent.StopCallEnded(TASK, 1, CallOutcome.DONE));
+		WorkerReport.Ended other = new WorkerReport.Ended(1, new TaskId("j", 0, 0, 1), 1, RunOutcome.DONE, "");
+		feed(new WorkerEvent.PollAnswered(lastPoll().pollNumber(), INCARNATION, 900, List.of(), List.of(other), true));
+		feed(new WorkerEvent.EndsRecorded(1, INCARNATION, 1));
+		feed(new WorkerEvent.PollAnswered(lastPoll().pollNumber(), INCARNATION, 900, List.of(), List.of()));
+		assertThat(this.commands).contains(new WorkerCommand.SendRunNotStarted(TASK, 1, "stopped before it started"));
+	}
+
 	private WorkerCommand.Poll startRunOnLeavingWorker() {
 		startRun();
 		feed(new WorkerEvent.WorkerLeaving(INCARNATION.worker()));
--- a/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
@@ -138,6 +138,17 @@
 				3 * RECOVERY_PHASE_MILLIS);
 	}
 
+	// Guards against ends that are missing because a list of them was truncated: a task
+	// whose run is done would be started again.
+	@ParameterizedTest
+	@MethodSource("seeds")
+	void noPromiseIsBrokenWhereWorkersListFewEndsAtATime(long seed) {
+		FleetSimulation simulation = new FleetSimulation(seed, 3, 5);
+		Random random = new Random(~seed);
+		simulation.targets().forEach((target) -> target.worker().setMaxListedEnds(1 + random.nextInt(3)));
+		runScenario(simulation, (running) -> List.of(), RECOVERY_PHASE_MILLIS);
+	}
+
 	// Guards against crashes that no process observed: all processes were killed after
 	// most of them.
 	@ParameterizedTest
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SimWorker.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimWorker.java
@@ -92,6 +92,8 @@
 
 	private double unansweredPollShare;
 
+	private int maxListedEnds = Integer.MAX_VALUE;
+
 	private boolean removed;
 
 	/** The time until which the worker is down after a crash. */
@@ -173,6 +175,14 @@
 		this.unansweredPollShare = share;
 	}
 
+	/**
+	 * Limits how many ends an answer lists; the earliest ones are listed.
+	 * @param max the maximum number
+	 */
+	void setMaxListedEnds(int max) {
+		this.maxListedEnds = max;
+	}
+
 	// Ends the worker permanently; its target continues to run.
 	void removePermanently() {
 		crash();
@@ -340,8 +350,9 @@
 		this.running.values()
 			.forEach((run) -> runs
 				.add(new WorkerReport.Running(run.task, run.run, "", this.checker.progressPercent(run.task, run.run))));
-		answer.complete(new WorkerEvent.PollAnswered(poll.pollNumber(), incarnation(), this.clock.now(), runs,
-				List.copyOf(this.ended.values())));
+		List<WorkerReport.Ended> ends = this.ended.values().stream().limit(this.maxListedEnds).toList();
+		answer.complete(new WorkerEvent.PollAnswered(poll.pollNumber(), incarnation(), this.clock.now(), runs, ends,
+				ends.size() == this.maxListedEnds));
 	}
 
 	// Ends that were followed by a lapse of the lease do not count: the holder that
