A run that its worker no longer lists as active is not blamed for a crash

A run whose end was beyond the listed ones stayed among the active runs, so a later crash of the worker was counted against its task, although it had ended. Enough of such crashes give a sound job up.

The list of active runs is never truncated, so the answer to a poll that was sent after a run was known to be active shows whether it still is. Runs that such an answer lacks are removed from those that a crash is counted against.

Test: aRunThatIsNoLongerRunningIsNotCountedInACrashAlthoughItsEndIsNotListed fails without the change.

--- a/core/src/main/java/org/almondmount/worker/WorkerManager.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerManager.java
@@ -468,9 +468,10 @@
 		for (WorkerReport.Running run : answer.running()) {
 			if (!hasEnded(run.task(), run.run())) {
 				stillRunning.add(run);
-				this.activeRuns.recordStart(run.task(), run.run(), this.workerAnsweredAt);
+				this.activeRuns.recordStart(run.task(), run.run(), this.workerAnsweredAt, this.lastPollNumber);
 			}
 		}
+		this.activeRuns.removeUnlisted(answer.pollNumber(), answer.running());
 		if (!listSameRuns(stillRunning, this.running)) {
 			this.reportDue = true;
 		}
@@ -505,7 +506,7 @@
 			return;
 		}
 		if (ended.outcome() == WorkerEvent.CallOutcome.DONE) {
-			this.activeRuns.recordStart(ended.task(), ended.run(), now);
+			this.activeRuns.recordStart(ended.task(), ended.run(), now, this.lastPollNumber);
 		}
 		if (run.stopRequested()) {
 			return;
--- a/core/src/test/java/org/almondmount/worker/WorkerManagerTests.java
+++ b/core/src/test/java/org/almondmount/worker/WorkerManagerTests.java
@@ -334,6 +334,19 @@
 		assertThat(this.commands).contains(new WorkerCommand.SendRunNotStarted(TASK, 1, "stopped before it started"));
 	}
 
+	// Guards against a crash that is attributed to a run that had ended before, because a
+	// truncated list lacked its end.
+	@Test
+	void aRunThatIsNoLongerRunningIsNotCountedInACrashAlthoughItsEndIsNotListed() {
+		startRun();
+		feed(new WorkerEvent.Tick());
+		WorkerReport.Ended other = new WorkerReport.Ended(1, new TaskId("j", 0, 0, 1), 1, RunOutcome.DONE, "");
+		feed(new WorkerEvent.PollAnswered(lastPoll().pollNumber(), INCARNATION, 950, List.of(), List.of(other), true));
+		feed(new WorkerEvent.WorkerAnnounced(description(new WorkerIncarnation("w", 4_000), false),
+				++this.announcementCount));
+		assertThat(this.commands).noneMatch(WorkerCommand.CountCrash.class::isInstance);
+	}
+
 	private WorkerCommand.Poll startRunOnLeavingWorker() {
 		startRun();
 		feed(new WorkerEvent.WorkerLeaving(INCARNATION.worker()));
