A gang that waits for one rack says so

No log line told why the gang of review/2 waits. gang-awaits-rack is logged once for each step that is placed in no rack although other workers would hold it, with the workers that may run it and the time until a rack is expected to be free.

--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -76,6 +76,8 @@
 
 	private final CustomerSharing sharing;
 
+	private final RackWaitPlanner rackWaits;
+
 	private final List<Reservation> reservations = new ArrayList<>();
 
 	/**
@@ -98,6 +100,7 @@
 		this.sharing = new CustomerSharing(state);
 		this.placer = new Placer(state.policy(), state::steadyMillis, state::speedProfile);
 		this.preemptionPlanner = new PreemptionPlanner(this.placer);
+		this.rackWaits = new RackWaitPlanner(state, this.placer);
 	}
 
 	void clear() {
@@ -156,6 +159,7 @@
 		if (this.preemptedPlacements.containsKey(unit.firstTask())) {
 			return false;
 		}
+		this.rackWaits.explainWait(unit, () -> capacityFor(unit));
 		overtaker.ifPresent((other) -> this.sharing.explainWait(unit, other));
 		boolean worthReserving = this.state.has(SchedulerFeature.RESERVE_ROOM)
 				&& !unit.deadline().timeliness().waitsBehindAll();
--- a/core/src/main/java/org/almondmount/workflow/impl/Placer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Placer.java
@@ -100,6 +100,18 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Chooses workers for a gang regardless of racks.
+	 * @param unit the unit to place
+	 * @param workers the workers that may run it
+	 * @param capacities supplies the available capacity
+	 * @return the worker of each task, or empty if the unit does not fit now
+	 */
+	Optional<Map<TaskState, Worker>> placeAcrossRacks(WorkUnit unit, List<Worker> workers,
+			Supplier<TentativeCapacity> capacities) {
+		return fill(unit, withoutProbed(unit, workers), capacities.get());
+	}
+
 	// A worker that is probed takes one run at a time, and no gang or retry that the
 	// others could hold. Guaranteed work has a time limit of its own and does not wait
 	// for a probe.
--- a/core/src/main/java/org/almondmount/workflow/impl/StepState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/StepState.java
@@ -41,6 +41,8 @@
 
 	private long notBeforeMillis = Long.MIN_VALUE;
 
+	private boolean rackWaitReported;
+
 	StepState(JobState job, StepKey key, Step spec) {
 		this.job = job;
 		this.key = key;
@@ -234,4 +236,12 @@
 		this.notBeforeMillis = Math.max(this.notBeforeMillis, millis);
 	}
 
+	boolean rackWaitReported() {
+		return this.rackWaitReported;
+	}
+
+	void markRackWaitReported() {
+		this.rackWaitReported = true;
+	}
+
 }
