--- a/core/src/main/java/org/almondmount/worker/WorkerEvent.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerEvent.java
@@ -74,7 +74,8 @@
 	 * @param clockMillis the worker's clock when it answered
 	 * @param running all active runs
 	 * @param ended the runs that ended and were not acknowledged, the earliest first
-	 * @param endsTruncated whether there may be further ends that are not listed
+	 * @param endsTruncated whether there may be further ends that are not listed; false
+	 * unless it is given
 	 */
 	record PollAnswered(long pollNumber, WorkerIncarnation incarnation, long clockMillis,
 			List<WorkerReport.Running> running, List<WorkerReport.Ended> ended,
@@ -85,7 +86,6 @@
 			ended = List.copyOf(ended);
 		}
 
-		/** Creates an answer that lists all ends. */
 		public PollAnswered(long pollNumber, WorkerIncarnation incarnation, long clockMillis,
 				List<WorkerReport.Running> running, List<WorkerReport.Ended> ended) {
 			this(pollNumber, incarnation, clockMillis, running, ended, false);
