No capacity is reserved for the end of a task that has none

A reservation took the run of a service for one that ends: within the default run time, or at once where the service reported all of its progress. A unit that only services were in the way of reserved their workers and all others that it needs, for as long as they lasted, and work that does not end before the imagined time stayed out of idle workers.

Only runs that are expected to end make room in a reservation now: those of tasks that end, and those that are being stopped. Where no end helps, nothing is reserved.

Test: noCapacityIsReservedForTheEndOfAService; in a trial without the filter no worker is given to the small job.

--- a/core/src/main/java/org/almondmount/workflow/impl/Reservation.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Reservation.java
@@ -25,7 +25,8 @@
 	 * @param now the steady clock
 	 * @param unit the unit
 	 * @param choices sets of workers, such as racks, one of which has to hold the unit
-	 * @return the reservation, or empty if no choice would hold the unit even if empty
+	 * @return the reservation, or empty if no choice would hold the unit after all runs
+	 * that end
 	 */
 	static Optional<Reservation> earliest(long now, WorkUnit unit, List<List<Worker>> choices) {
 		Reservation best = null;
@@ -41,7 +42,10 @@
 	private static Optional<Reservation> within(long now, WorkUnit unit, List<Worker> workers) {
 		List<RunEnd> byEnd = new ArrayList<>();
 		for (Worker worker : workers) {
-			worker.runs().forEach((run) -> byEnd.add(new RunEnd(run, run.remainingMillis(now))));
+			worker.runs()
+				.stream()
+				.filter(Run::isExpectedToEnd)
+				.forEach((run) -> byEnd.add(new RunEnd(run, run.remainingMillis(now))));
 		}
 		byEnd.sort(Comparator.comparingLong(RunEnd::delayMillis));
 		int endedCount = minEndedRuns(unit, workers, byEnd);
--- a/core/src/main/java/org/almondmount/workflow/impl/Run.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/Run.java
@@ -360,6 +360,14 @@
 				/ MAX_PERCENT;
 	}
 
+	/**
+	 * Whether the run is expected to end without a further decision.
+	 * @return whether its task is not long-running, or it is being stopped
+	 */
+	boolean isExpectedToEnd() {
+		return this.stopping || !this.task.step().spec().longRunning();
+	}
+
 	/**
 	 * Extrapolates the run time on this worker from the progress so far, once for each
 	 * run. All runs are sampled at the same age, so that the first samples of a step are
