Room that was freed in vain is given up

Guaranteed or urgent work could wait without an end for the place that runs had made for it: if the worker shrank meanwhile, the place never held the unit, yet it was kept as long as the worker stayed, no other room was freed, and no other unit could use it. Same class as the gang that waits for a rack: a preference for a place without anything that ends the wait.

A place is kept while runs on its workers are still being stopped or one of them is paused. Once nothing there is about to end and the unit still does not fit, it is given up and the unit is planned anew in the same round.

Test: roomIsFreedElsewhereOnceTheChosenWorkerIsTooSmall; in a trial with the former rule nothing is freed a second time.

--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -177,10 +177,16 @@
 	}
 
 	// A worker that is paused for a moment will be usable again, so the unit keeps the
-	// place that is being freed for it there.
+	// place that is being freed for it there. If all runs in its way have ended and it
+	// still does not fit, no further end makes room for it.
 	private boolean isPreemptedPlacementUsable(WorkUnit unit) {
 		Map<TaskState, Worker> preempted = this.preemptedPlacements.get(unit.firstTask());
-		return preempted != null && preempted.values().stream().noneMatch(this.state::isLeaving);
+		if (preempted == null || preempted.values().stream().anyMatch(this.state::isLeaving)) {
+			return false;
+		}
+		return preempted.values()
+			.stream()
+			.anyMatch((worker) -> !unit.workers().contains(worker) || worker.runs().stream().anyMatch(Run::stopping));
 	}
 
 	// Capacity that was freed across several racks is not found by a search that
--- a/core/src/test/java/org/almondmount/workflow/GuaranteedGangTests.java
+++ b/core/src/test/java/org/almondmount/workflow/GuaranteedGangTests.java
@@ -48,6 +48,36 @@
 			.containsExactlyInAnyOrder("t2", "t3");
 	}
 
+	// Guards against guaranteed work that waits for ever for the place that was freed for
+	// it: the worker has shrunk meanwhile, and runs on another one could give way.
+	@Test
+	void roomIsFreedElsewhereOnceTheChosenWorkerIsTooSmall() {
+		beginTerm(2);
+		List<WorkflowCommand.StartRun> borrowers = startsAfterAccepting(job("less", 2, estimatedStep(2, 8, 60_000)));
+		borrowers.forEach(this::reportRunning);
+		this.now += 2_000;
+		WorkflowCommand.StopRun victim = stops(
+				feed(new WorkflowEvent.JobAccepted(jobOf("other", "urgent", 0, estimatedStep(1, 8, 2_000)))))
+			.get(0);
+		startsAfterPersisting(this.commands);
+		this.now += 500;
+		shrink(Integer.parseInt(victim.target().substring(1)), 4);
+		feed(new WorkflowEvent.RunRefused(victim.target(), victim.task(), victim.run(), "stopped"));
+		borrowers.stream().filter((start) -> !start.target().equals(victim.target())).forEach(this::reportRunning);
+		this.now += 500;
+		feed(new WorkflowEvent.Tick());
+		assertThat(stops(this.commands)).extracting(WorkflowCommand.StopRun::target)
+			.hasSize(2)
+			.last()
+			.isNotEqualTo(victim.target());
+	}
+
+	private void shrink(int worker, long accelerators) {
+		WorkerDescription description = new WorkerDescription(new WorkerIncarnation("w" + worker, 1), "pool", "z",
+				Set.of("r1-1"), amount(accelerators), false, 0);
+		feed(new WorkflowEvent.WorkerReported(new WorkerReport("t" + worker, description, 1, List.of(), List.of())));
+	}
+
 	private void beginTermInFirstRack(int workers) {
 		feed(new WorkflowEvent.TermBegan(1, List.of()));
 		this.now += 2_000;
