A placed gang forgets how long it waited for a rack

The wait went on counting while the gang ran, so a retry a minute later would have started across racks at once, three times slower, however soon a rack was free. The count is reset when a unit is placed, by whichever way.

The gain of one rack is computed in one place, also for reservations, where it was taken for that of a run with an end if the gang's tasks have none. Whether a worker is paused is asked of the worker instead of a list of all workers.

--- a/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/PlacementRound.java
@@ -137,9 +137,7 @@
 	private boolean place(WorkUnit unit, WorkUnit unrestricted, Optional<String> overtaker) {
 		Optional<Map<TaskState, Worker>> found = find(unit);
 		if (found.isPresent()) {
-			this.preemptedPlacements.remove(unit.firstTask());
-			this.runLifecycle.open(unit, found.get());
-			this.sharing.onPlaced(unit);
+			start(unit, found.get());
 			return true;
 		}
 		if (!isPreemptedPlacementUsable(unit)) {
@@ -154,8 +152,7 @@
 		}
 		Optional<Map<TaskState, Worker>> acrossRacks = this.rackWaits.endWait(unit, () -> capacityFor(unit));
 		if (acrossRacks.isPresent()) {
-			this.runLifecycle.open(unit, acrossRacks.get());
-			this.sharing.onPlaced(unit);
+			start(unit, acrossRacks.get());
 			return true;
 		}
 		overtaker.ifPresent((other) -> this.sharing.explainWait(unit, other));
@@ -171,6 +168,13 @@
 		return false;
 	}
 
+	private void start(WorkUnit unit, Map<TaskState, Worker> placement) {
+		this.preemptedPlacements.remove(unit.firstTask());
+		unit.step().rackWaitTimer().reset();
+		this.runLifecycle.open(unit, placement);
+		this.sharing.onPlaced(unit);
+	}
+
 	private Optional<Map<TaskState, Worker>> find(WorkUnit unit) {
 		return this.placer.place(unit, unit.workers(), () -> capacityFor(unit))
 			.or(() -> placeOnPreemptedCapacity(unit));
@@ -186,7 +190,7 @@
 		}
 		return preempted.values()
 			.stream()
-			.anyMatch((worker) -> !unit.workers().contains(worker) || worker.runs().stream().anyMatch(Run::stopping));
+			.anyMatch((worker) -> !this.state.canStartOn(worker) || worker.runs().stream().anyMatch(Run::stopping));
 	}
 
 	// Capacity that was freed across several racks is not found by a search that
--- a/core/src/main/java/org/almondmount/workflow/impl/RackWaitPlanner.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RackWaitPlanner.java
@@ -55,7 +55,8 @@
 			timer.pause(now);
 			return Optional.empty();
 		}
-		WaitingGang gang = describe(unit, timer.waitedMillis(now), capacities);
+		WaitingGang gang = new WaitingGang(gainMillis(unit), rackDelayMillis(unit, capacities), timer.waitedMillis(now),
+				isFleetIdle(unit));
 		RackWait decision = RackWait.of(gang);
 		report(unit, gang, decision);
 		if (decision.waits()) {
@@ -69,15 +70,13 @@
 	/**
 	 * Returns how much sooner a run of a gang ends in one rack than across racks.
 	 * @param unit the gang
-	 * @return milliseconds
+	 * @return milliseconds, 0 if its tasks have no end that could be sooner
 	 */
 	static long gainMillis(WorkUnit unit) {
-		return WaitingGang.gainMillis(unit.step().runMillisOrDefault(), Placer.CROSS_RACK_SLOWDOWN);
-	}
-
-	private WaitingGang describe(WorkUnit unit, long waitedMillis, Supplier<TentativeCapacity> capacities) {
-		return new WaitingGang(unit.step().runMillisOrDefault(), Placer.CROSS_RACK_SLOWDOWN,
-				unit.step().spec().longRunning(), rackDelayMillis(unit, capacities), waitedMillis, isFleetIdle(unit));
+		if (unit.step().spec().longRunning()) {
+			return 0;
+		}
+		return (long) (unit.step().runMillisOrDefault() * (Placer.CROSS_RACK_SLOWDOWN - 1));
 	}
 
 	private OptionalLong rackDelayMillis(WorkUnit unit, Supplier<TentativeCapacity> capacities) {
--- a/core/src/main/java/org/almondmount/workflow/impl/RackWaitTimer.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/RackWaitTimer.java
@@ -56,6 +56,15 @@
 		this.waiting = false;
 	}
 
+	/**
+	 * Forgets the wait once the gang is placed, so that a retry may wait as long again.
+	 */
+	void reset() {
+		this.waitedMillis = 0;
+		this.waiting = false;
+		this.nextReviewMillis = Long.MIN_VALUE;
+	}
+
 	/**
 	 * Marks the wait as reported.
 	 * @return whether it was not reported before
--- a/core/src/main/java/org/almondmount/workflow/rack/RackWait.java
+++ b/core/src/main/java/org/almondmount/workflow/rack/RackWait.java
@@ -34,12 +34,11 @@
 	 * @return {@link #WAITING}, or why the gang starts across racks
 	 */
 	public static RackWait of(WaitingGang gang) {
-		long gainMillis = gang.gainMillis();
 		long delayMillis = gang.rackDelayMillis().orElse(Long.MAX_VALUE);
-		if (delayMillis >= gainMillis) {
+		if (delayMillis >= gang.gainMillis()) {
 			return NO_RACK_IN_TIME;
 		}
-		if (gang.waitedMillis() >= gainMillis) {
+		if (gang.waitedMillis() >= gang.gainMillis()) {
 			return WAITED_ENOUGH;
 		}
 		boolean longWait = Math.max(delayMillis, gang.waitedMillis()) >= MAX_IDLE_FLEET_WAIT_MILLIS;
--- a/core/src/test/java/org/almondmount/workflow/rack/RackWaitTests.java
+++ b/core/src/test/java/org/almondmount/workflow/rack/RackWaitTests.java
@@ -15,6 +15,8 @@
 
 	private static final double SLOWDOWN = 3;
 
+	private static final long GAIN_MILLIS = 120_000;
+
 	private static final long STEP_MILLIS = 100;
 
 	private static final int GANGS = 2_000;
@@ -49,11 +51,11 @@
 
 	@Test
 	void aGangWaitsForTwoSecondsAtMostBesideAnIdleFleet() {
-		WaitingGang gang = new WaitingGang(60_000, SLOWDOWN, false, OptionalLong.of(1_000), 1_999, true);
+		WaitingGang gang = new WaitingGang(GAIN_MILLIS, OptionalLong.of(1_000), 1_999, true);
 		assertThat(RackWait.of(gang)).isEqualTo(RackWait.WAITING);
-		assertThat(RackWait.of(new WaitingGang(60_000, SLOWDOWN, false, OptionalLong.of(1_000), 2_000, true)))
+		assertThat(RackWait.of(new WaitingGang(GAIN_MILLIS, OptionalLong.of(1_000), 2_000, true)))
 			.isEqualTo(RackWait.FLEET_IDLE);
-		assertThat(RackWait.of(new WaitingGang(60_000, SLOWDOWN, false, OptionalLong.of(9_000), 0, true)))
+		assertThat(RackWait.of(new WaitingGang(GAIN_MILLIS, OptionalLong.of(9_000), 0, true)))
 			.isEqualTo(RackWait.FLEET_IDLE);
 	}
 
@@ -61,19 +63,20 @@
 	// could bring forward.
 	@Test
 	void aGangWithoutAnEndDoesNotWait() {
-		WaitingGang gang = new WaitingGang(60_000, SLOWDOWN, true, OptionalLong.of(0), 0, false);
+		WaitingGang gang = new WaitingGang(0, OptionalLong.of(0), 0, false);
 		assertThat(RackWait.of(gang)).isEqualTo(RackWait.NO_RACK_IN_TIME);
 	}
 
 	@Test
 	void aGangDoesNotWaitWhereNoRackIsExpectedToBeFree() {
-		WaitingGang gang = new WaitingGang(60_000, SLOWDOWN, false, OptionalLong.empty(), 0, false);
+		WaitingGang gang = new WaitingGang(GAIN_MILLIS, OptionalLong.empty(), 0, false);
 		assertThat(RackWait.of(gang)).isEqualTo(RackWait.NO_RACK_IN_TIME);
 	}
 
 	private static long end(long runMillis, long rackFreeAt, Estimate estimate) {
 		for (long now = 0; now < rackFreeAt; now += STEP_MILLIS) {
-			WaitingGang gang = new WaitingGang(runMillis, SLOWDOWN, false, estimate.delayAt(now), now, false);
+			long gainMillis = (long) (runMillis * (SLOWDOWN - 1));
+			WaitingGang gang = new WaitingGang(gainMillis, estimate.delayAt(now), now, false);
 			if (!RackWait.of(gang).waits()) {
 				return now + (long) (runMillis * SLOWDOWN);
 			}
