A run is given up only if it was ordered before its worker was absent

Callers saw a task run on two workers at a time.

Cause: a worker ended, polls found it absent, and it was started again under its name. Before it had announced itself, it started a run that was ordered for its previous incarnation, since a call names the worker only. The next poll without an answer gave that run up, by the absence that had been found before the order.

Only runs whose start was sent before the first poll that found the worker absent are given up, and a start or stop that is answered ends the absence. A later order is settled by the next incarnation's lists or by the end of the lease.

--- a/core/src/main/java/org/almondmount/worker/OrderedRun.java
+++ b/core/src/main/java/org/almondmount/worker/OrderedRun.java
@@ -30,24 +30,40 @@
 
 	private String notStartedReason = "stopped before it started";
 
-	OrderedRun(StartOrdered order) {
+	private long lastStartMillis;
+
+	OrderedRun(StartOrdered order, long now) {
 		this.order = order;
+		this.lastStartMillis = now;
 	}
 
 	/**
 	 * Creates a run of which only the order to stop it is known.
 	 * @param stop that order
+	 * @param now the monotonic clock in milliseconds
 	 * @return the run
 	 */
-	static OrderedRun ofStopOrder(StopOrdered stop) {
+	static OrderedRun ofStopOrder(StopOrdered stop, long now) {
 		return new OrderedRun(new StartOrdered(stop.epoch(), 0, stop.incarnation(), stop.task(), stop.run(), "", "",
-				ResourceAmount.NONE));
+				ResourceAmount.NONE), now);
 	}
 
 	StartOrdered order() {
 		return this.order;
 	}
 
+	void recordStartCall(long now) {
+		this.lastStartMillis = now;
+	}
+
+	/**
+	 * Returns when the worker may have received a call that starts the run.
+	 * @return the time of the last call, or of the order if none was sent
+	 */
+	long lastStartMillis() {
+		return this.lastStartMillis;
+	}
+
 	void resetStartCalls() {
 		this.startCallCount = 0;
 	}
--- a/core/src/main/java/org/almondmount/worker/WorkerManager.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerManager.java
@@ -236,7 +236,7 @@
 		if (this.orders.containsKey(key) || isListed(order.task(), order.run())) {
 			return;
 		}
-		OrderedRun run = new OrderedRun(order);
+		OrderedRun run = new OrderedRun(order, now);
 		this.orders.put(key, run);
 		Optional<String> refusal = refusalReason(now, order);
 		if (refusal.isEmpty()) {
@@ -282,6 +282,7 @@
 
 	private void sendStart(long now, OrderedRun run) {
 		WorkerEvent.StartOrdered order = run.order();
+		run.recordStartCall(now);
 		this.commands.add(new WorkerCommand.Start(this.incarnation, this.epoch, order.task(), order.run(),
 				order.program(), order.checkpoint(), leaseUntilOnWorkerClock(now)));
 	}
@@ -291,7 +292,7 @@
 			return;
 		}
 		String key = runKey(order.task(), order.run());
-		OrderedRun run = this.orders.computeIfAbsent(key, (name) -> OrderedRun.ofStopOrder(order));
+		OrderedRun run = this.orders.computeIfAbsent(key, (name) -> OrderedRun.ofStopOrder(order, now));
 		run.stopRequested(true);
 		if (!run.stopCallOutstanding()) {
 			sendStop(run);
@@ -355,7 +356,8 @@
 	// wait until their lease expires. It may live on for seconds after its announcement,
 	// so an unanswered poll does not show that it is gone, and neither do refusals of one
 	// moment; and the answer to a poll that is still outstanding may contain the ends of
-	// its last runs.
+	// its last runs. A start that was sent later may have reached the next incarnation,
+	// which can have the same name.
 	private void abandonRunsIfWorkerLeft() {
 		boolean gone = this.leavingNoticeAt != Long.MIN_VALUE && this.absentSince != Long.MAX_VALUE
 				&& this.absentMillis >= this.policy.pollRetryPauseMillis();
@@ -365,12 +367,14 @@
 		for (WorkerReport.Running run : this.running) {
 			this.commands.add(new WorkerCommand.SendRunNotStarted(run.task(), run.run(), "the worker has shut down"));
 		}
-		for (OrderedRun run : this.orders.values()) {
-			this.commands.add(new WorkerCommand.SendRunNotStarted(run.order().task(), run.order().run(),
-					"the worker has shut down"));
+		for (OrderedRun run : List.copyOf(this.orders.values())) {
+			if (run.lastStartMillis() < this.absentSince) {
+				this.commands.add(new WorkerCommand.SendRunNotStarted(run.order().task(), run.order().run(),
+						"the worker has shut down"));
+				this.orders.remove(runKey(run.order().task(), run.order().run()));
+			}
 		}
 		this.running = List.of();
-		this.orders.clear();
 	}
 
 	private boolean isDraining() {
@@ -506,6 +510,7 @@
 			return;
 		}
 		if (ended.outcome() == WorkerEvent.CallOutcome.DONE) {
+			resetAbsence();
 			this.activeRuns.recordStart(ended.task(), ended.run(), now, this.lastPollNumber);
 		}
 		if (run.stopRequested()) {
@@ -534,6 +539,7 @@
 		}
 		run.stopCallOutstanding(false);
 		if (ended.outcome() == WorkerEvent.CallOutcome.DONE) {
+			resetAbsence();
 			run.firstPollAfterStop(this.lastPollNumber + 1);
 			this.pollRequested = true;
 			return;
--- a/core/src/test/java/org/almondmount/worker/WorkerManagerTests.java
+++ b/core/src/test/java/org/almondmount/worker/WorkerManagerTests.java
@@ -12,6 +12,8 @@
 import org.almondmount.workflow.WorkerIncarnation;
 import org.almondmount.workflow.WorkerReport;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -31,6 +33,8 @@
 
 	private long announcementCount;
 
+	private long lastFailedPoll;
+
 	// Guards against a lease that the target renews without a grant: tasks that the
 	// holder considers gone would continue, and would run twice. The process has just
 	// started and has no holder; it polls the worker to learn its incarnation.
@@ -347,6 +351,41 @@
 		assertThat(this.commands).noneMatch(WorkerCommand.CountCrash.class::isInstance);
 	}
 
+	// Guards against two runs of a task at a time: the worker is started again under its
+	// name before it announces itself, and gets an order that was meant for its previous
+	// incarnation. Polls that found that one absent show nothing of a later order.
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void aRunOrderedAfterItsWorkerWasAbsentIsNotGivenUp(boolean answered) {
+		connectWithLease();
+		feed(new WorkerEvent.WorkerLeaving(INCARNATION.worker()));
+		for (int polls = 0; polls < 2; polls++) {
+			this.now += WorkerPolicy.DEFAULT.pollWaitMillis();
+			feed(new WorkerEvent.Tick());
+			failOutstandingPolls("connection refused", true);
+		}
+		this.now += 100;
+		feed(new WorkerEvent.StartOrdered(1, 1, INCARNATION, TASK, 1, "program", "", CAPACITY));
+		assertThat(this.commands).anyMatch(WorkerCommand.Start.class::isInstance);
+		if (answered) {
+			feed(new WorkerEvent.StartCallEnded(TASK, 1, CallOutcome.DONE, ""));
+		}
+		this.now += WorkerPolicy.DEFAULT.pollRetryPauseMillis();
+		feed(new WorkerEvent.Tick());
+		failOutstandingPolls("no answer", false);
+		assertThat(this.commands).noneMatch(WorkerCommand.SendRunNotStarted.class::isInstance);
+	}
+
+	private void failOutstandingPolls(String reason, boolean absent) {
+		List<WorkerCommand.Poll> outstanding = polls().stream()
+			.filter((poll) -> poll.pollNumber() > this.lastFailedPoll)
+			.toList();
+		for (WorkerCommand.Poll poll : outstanding) {
+			this.lastFailedPoll = poll.pollNumber();
+			feed(new WorkerEvent.PollFailed(poll.pollNumber(), reason, absent));
+		}
+	}
+
 	private WorkerCommand.Poll startRunOnLeavingWorker() {
 		startRun();
 		feed(new WorkerEvent.WorkerLeaving(INCARNATION.worker()));
--- a/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
@@ -35,12 +35,14 @@
 	 * job and had no effect. 60021, 501726: a crash was lost together with the worker
 	 * incarnation in which it happened. 60258: a holder stored failures before it knew
 	 * how many their queue allows. 300209: a paused holder deleted the progress of jobs
-	 * that its successor had started. These violated none: 1000934, whose job was queried
-	 * before it was accepted; 6100055 and 6100279, where members of a gang started late
-	 * in its last attempt, which had failed meanwhile.
+	 * that its successor had started. 7600103: a run was given up that an order for the
+	 * previous incarnation of its worker had started in the next one. These violated
+	 * none: 1000934, whose job was queried before it was accepted; 6100055 and 6100279,
+	 * where members of a gang started late in its last attempt, which had failed
+	 * meanwhile.
 	 */
-	private static final long[] REGRESSION_SEEDS = { 379, 658, 60021, 60258, 300209, 501726, 1000934, 6100055,
-			6100279 };
+	private static final long[] REGRESSION_SEEDS = { 379, 658, 60021, 60258, 300209, 501726, 1000934, 6100055, 6100279,
+			7600103 };
 
 	/** The duration of a fault that lasts until {@link #stopFaults}. */
 	static final long UNTIL_FAULTS_STOP = -1;
