A worker that refuses connections is not vouched for

A gang was placed on a worker that had been lost 4 s before: its members waited 3 s for the missing one, and another 5 s passed until that run's lease was over.

Cause: heartbeats vouched for the worker for two seconds after its last answer, whatever polls had found since, and the holder uses a worker for 2.5 s after it was vouched for. A poll whose connection is refused ends the vouching at once, the next answer resumes it with a heartbeat of its own. The lease still counts from the last heartbeat that vouched, so no run is given up before it has ended.

Test: aWorkerThatRefusesConnectionsIsNotVouchedFor fails without the change.

--- a/core/src/main/java/org/almondmount/worker/WorkerManager.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerManager.java
@@ -112,7 +112,8 @@
 	private long firstPollAfterLeaving;
 
 	/**
-	 * When a poll that was sent after that announcement first found the worker absent.
+	 * When a poll first found the worker absent, since its last answer and since it
+	 * announced its shutdown.
 	 */
 	private long absentSince = Long.MAX_VALUE;
 
@@ -583,7 +584,9 @@
 	}
 
 	private boolean workerAnswers(long now) {
-		return this.workerAnsweredAt != Long.MIN_VALUE && now - this.workerAnsweredAt <= WORKER_ANSWER_TIMEOUT_MILLIS;
+		boolean absent = this.absentSince != Long.MAX_VALUE;
+		return !absent && this.workerAnsweredAt != Long.MIN_VALUE
+				&& now - this.workerAnsweredAt <= WORKER_ANSWER_TIMEOUT_MILLIS;
 	}
 
 	private void retryStops(long now) {
--- a/core/src/test/java/org/almondmount/worker/WorkerManagerTests.java
+++ b/core/src/test/java/org/almondmount/worker/WorkerManagerTests.java
@@ -351,6 +351,23 @@
 		assertThat(this.commands).noneMatch(WorkerCommand.CountCrash.class::isInstance);
 	}
 
+	// Guards against runs that are placed on a worker that is lost: its target vouches
+	// for
+	// it although it refuses connections.
+	@Test
+	void aWorkerThatRefusesConnectionsIsNotVouchedFor() {
+		connectWithLease();
+		this.now += WorkerPolicy.DEFAULT.pollWaitMillis();
+		feed(new WorkerEvent.Tick());
+		assertThat(heartbeats()).last().isNotEqualTo(WorkerCommand.SendHeartbeat.WORKER_SILENT);
+		feed(new WorkerEvent.PollFailed(lastPoll().pollNumber(), "connection refused", true));
+		this.now += WorkerPolicy.DEFAULT.heartbeatIntervalMillis();
+		feed(new WorkerEvent.Tick());
+		assertThat(heartbeats()).last().isEqualTo(WorkerCommand.SendHeartbeat.WORKER_SILENT);
+		feed(new WorkerEvent.PollAnswered(lastPoll().pollNumber(), INCARNATION, 2_900, List.of(), List.of()));
+		assertThat(heartbeats()).last().isNotEqualTo(WorkerCommand.SendHeartbeat.WORKER_SILENT);
+	}
+
 	// Guards against two runs of a task at a time: the worker is started again under its
 	// name before it announces itself, and gets an order that was meant for its previous
 	// incarnation. Polls that found that one absent show nothing of a later order.
