--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -35,6 +35,8 @@
 
 	private final CheckpointPersister checkpointPersister;
 
+	private final OutlivedQueues outlivedQueues;
+
 	public DefaultWorkflowScheduler(SchedulerPolicy policy) {
 		this.state = new SchedulerState(policy);
 		this.runLifecycle = new RunLifecycle(this.state);
@@ -42,6 +44,7 @@
 		this.placementRound = new PlacementRound(this.state, this.runLifecycle);
 		this.endedJobCleanup = new EndedJobCleanup(this.state);
 		this.checkpointPersister = new CheckpointPersister(this.state);
+		this.outlivedQueues = new OutlivedQueues(this.state);
 	}
 
 	@Override
@@ -105,6 +108,7 @@
 		if (!after.equals(before)) {
 			this.state.explain("features-active", "revision", next.revision(), "features", after);
 		}
+		this.outlivedQueues.update();
 		this.runLifecycle.failExhaustedJobs();
 	}
 
@@ -112,8 +116,10 @@
 		if (event instanceof WorkflowEvent.TermBegan began) {
 			this.placementRound.clear();
 			this.endedJobCleanup.clear();
+			this.outlivedQueues.clear();
 			this.state.beginTerm(began.epoch());
 			began.jobs().forEach(this::restore);
+			this.outlivedQueues.update();
 			this.runLifecycle.failExhaustedJobs();
 			return true;
 		}
