A job outlives its queue with the queue's latest declaration

Cause: what a job needs until it ends (pool, priority, attempts, objective) was looked up by the name of its queue in the newest configuration at each decision. Placement left out a job without a queue, its attempts had no limit, and an urgent job lost its guarantee and its protection from preemption. Only the newest configuration is in the store, so no process could know more after a change of holder.

Change: an entry stores the declaration under which it accepts a job in the job's row. The holder adopts each later declaration of the same name and stores it with the job's progress if its content differs, so that the next holder knows it too. While a queue is declared, its newest declaration is in force as before, unless the entry knew a later one than the holder. A holder that has read no configuration places nothing, as before: it does not know the zones that are out of service either.

--- a/core/src/main/java/org/almondmount/workflow/FleetConfiguration.java
+++ b/core/src/main/java/org/almondmount/workflow/FleetConfiguration.java
@@ -67,6 +67,15 @@
 		return Optional.ofNullable(this.queuesByName.get(name));
 	}
 
+	/**
+	 * Returns how this configuration declares a queue.
+	 * @param name the name of the queue
+	 * @return the declaration, or empty if the queue is not declared
+	 */
+	public Optional<QueueDeclaration> declaration(String name) {
+		return queue(name).map((queue) -> new QueueDeclaration(this.revision, queue));
+	}
+
 	public Optional<FleetCustomer> customer(String name) {
 		return Optional.ofNullable(this.customersByName.get(name));
 	}
--- a/core/src/main/java/org/almondmount/workflow/JobRecord.java
+++ b/core/src/main/java/org/almondmount/workflow/JobRecord.java
@@ -13,8 +13,11 @@
  * @param doneSteps the steps whose tasks are all done
  * @param tasks the tasks of the other steps that have runs or failures, and every task
  * with an open run
+ * @param declaration the latest known declaration of the job's queue, empty if it is the
+ * one under which the job was accepted
  */
-public record JobRecord(String job, JobPhase phase, List<StepKey> doneSteps, List<TaskRecord> tasks) {
+public record JobRecord(String job, JobPhase phase, List<StepKey> doneSteps, List<TaskRecord> tasks,
+		Optional<QueueDeclaration> declaration) {
 
 	/** A job never fails for fewer confirmed crashes of one task. */
 	private static final int MIN_CRASHES_FOR_FAILURE = 2;
@@ -24,6 +27,10 @@
 		tasks = List.copyOf(tasks);
 	}
 
+	public JobRecord(String job, JobPhase phase, List<StepKey> doneSteps, List<TaskRecord> tasks) {
+		this(job, phase, doneSteps, tasks, Optional.empty());
+	}
+
 	/**
 	 * Returns why the job failed, as a message for its caller.
 	 * @return the reason and the remedy, or empty if the job has not failed
--- a/core/src/main/java/org/almondmount/workflow/Workflow.java
+++ b/core/src/main/java/org/almondmount/workflow/Workflow.java
@@ -1,6 +1,7 @@
 package org.almondmount.workflow;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.almondmount.model.InvalidValueException;
 
@@ -15,9 +16,11 @@
  * @param steps the steps; a step may only depend on earlier ones
  * @param schedule when the occurrences of the job are due
  * @param acceptedAtMillis when the job was accepted, in milliseconds since 1970
+ * @param declaration the declaration of the queue under which the job was accepted; empty
+ * if the version that accepted it did not store one
  */
 public record Workflow(String id, String queue, String customer, String program, List<Step> steps, Schedule schedule,
-		long acceptedAtMillis) {
+		long acceptedAtMillis, Optional<QueueDeclaration> declaration) {
 
 	/**
 	 * The maximum number of tasks of one job over all occurrences. The progress of a job
@@ -41,6 +44,11 @@
 		}
 	}
 
+	public Workflow(String id, String queue, String customer, String program, List<Step> steps, Schedule schedule,
+			long acceptedAtMillis) {
+		this(id, queue, customer, program, steps, schedule, acceptedAtMillis, Optional.empty());
+	}
+
 	private static void requireEarlierSteps(int number, List<Integer> dependencies) {
 		for (int dependency : dependencies) {
 			if (dependency < 0 || dependency >= number) {
--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -9,6 +9,7 @@
 import org.almondmount.workflow.JobRecord;
 import org.almondmount.workflow.JobRecord.OpenRun;
 import org.almondmount.workflow.JobRecord.TaskRecord;
+import org.almondmount.workflow.QueueDeclaration;
 import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.SchedulerPolicy;
 import org.almondmount.workflow.WorkOutcome;
@@ -35,6 +36,8 @@
 
 	private final CheckpointPersister checkpointPersister;
 
+	private final QueueDeclarations queueDeclarations;
+
 	private final OutlivedQueues outlivedQueues;
 
 	public DefaultWorkflowScheduler(SchedulerPolicy policy) {
@@ -44,6 +47,7 @@
 		this.placementRound = new PlacementRound(this.state, this.runLifecycle);
 		this.endedJobCleanup = new EndedJobCleanup(this.state);
 		this.checkpointPersister = new CheckpointPersister(this.state);
+		this.queueDeclarations = new QueueDeclarations(this.state);
 		this.outlivedQueues = new OutlivedQueues(this.state);
 	}
 
@@ -103,11 +107,13 @@
 
 	private void changeConfiguration(FleetConfiguration next) {
 		Set<SchedulerFeature> before = this.state.triggeredFeatures();
+		FleetConfiguration previous = this.state.configuration();
 		this.state.configuration(next);
 		Set<SchedulerFeature> after = this.state.triggeredFeatures();
 		if (!after.equals(before)) {
 			this.state.explain("features-active", "revision", next.revision(), "features", after);
 		}
+		this.queueDeclarations.onConfigurationChanged(previous);
 		this.outlivedQueues.update();
 		this.runLifecycle.failExhaustedJobs();
 	}
@@ -167,8 +173,11 @@
 		if (this.state.jobs().containsKey(job.id())) {
 			return;
 		}
-		this.state.jobs().put(job.id(), new JobState(job));
-		this.state.explain("job-known", "job", job.id(), "queue", job.queue(), "customer", job.customer());
+		JobState accepted = new JobState(job);
+		this.state.jobs().put(job.id(), accepted);
+		this.queueDeclarations.onJobKnown(accepted);
+		this.state.explain("job-known", "job", job.id(), "queue", job.queue(), "customer", job.customer(),
+				"declaredRevision", accepted.declaration().map(QueueDeclaration::revision).orElse(0L));
 	}
 
 	private void cancel(String id) {
@@ -190,6 +199,7 @@
 		JobState job = new JobState(persisted.job());
 		this.state.jobs().put(job.id(), job);
 		persisted.progress().ifPresent((progress) -> restore(job, progress));
+		this.queueDeclarations.onJobKnown(job);
 		int openRuns = job.openRuns().size();
 		if (openRuns > 0) {
 			this.state.explain("job-inherited", "job", job.id(), "phase", job.phase(), "openRuns", openRuns);
--- a/core/src/main/java/org/almondmount/workflow/impl/JobState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/JobState.java
@@ -7,11 +7,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
+import org.almondmount.workflow.FleetConfiguration;
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.JobRecord;
 import org.almondmount.workflow.JobRecord.StepKey;
 import org.almondmount.workflow.JobRecord.TaskRecord;
+import org.almondmount.workflow.QueueDeclaration;
 import org.almondmount.workflow.Workflow;
 
 /**
@@ -36,8 +39,11 @@
 
 	private double unpersistedCoreSeconds;
 
+	private Optional<QueueDeclaration> declaration;
+
 	JobState(Workflow workflow) {
 		this.workflow = workflow;
+		this.declaration = workflow.declaration();
 		for (int occurrence = 0; occurrence < workflow.schedule().occurrences(); occurrence++) {
 			for (int number = 0; number < workflow.steps().size(); number++) {
 				StepKey key = new StepKey(occurrence, number);
@@ -83,6 +89,46 @@
 		return this.phase.isTerminal();
 	}
 
+	/**
+	 * Returns the latest known declaration of the job's queue, which may not be in force
+	 * any more.
+	 * @return the declaration, or empty if none is known
+	 */
+	Optional<QueueDeclaration> declaration() {
+		return this.declaration;
+	}
+
+	/**
+	 * Whether the latest known declaration differs from the one that is stored with the
+	 * job.
+	 * @return whether only the progress of the job can store it
+	 */
+	boolean hasLaterDeclaration() {
+		return !this.declaration.equals(this.workflow.declaration());
+	}
+
+	/**
+	 * Adopts the declaration of the job's queue, unless a later one is known.
+	 * @param configuration the configuration in force
+	 * @return whether it replaced a declaration of different content
+	 */
+	boolean adoptDeclaration(FleetConfiguration configuration) {
+		Optional<QueueDeclaration> declared = configuration.declaration(this.workflow.queue());
+		if (declared.isEmpty()) {
+			return false;
+		}
+		if (this.declaration.isEmpty()) {
+			this.declaration = declared;
+			return false;
+		}
+		QueueDeclaration known = this.declaration.get();
+		if (declared.get().revision() < known.revision() || declared.get().queue().equals(known.queue())) {
+			return false;
+		}
+		this.declaration = declared;
+		return true;
+	}
+
 	/**
 	 * Returns the work in checkpoints that are not yet persisted.
 	 * @return core-seconds since the last persisted checkpoints
@@ -189,7 +235,8 @@
 				}
 			}
 		}
-		return new JobRecord(id(), this.phase, doneSteps, tasks);
+		Optional<QueueDeclaration> laterDeclaration = hasLaterDeclaration() ? this.declaration : Optional.empty();
+		return new JobRecord(id(), this.phase, doneSteps, tasks, laterDeclaration);
 	}
 
 	/**
@@ -199,6 +246,7 @@
 	void restore(JobRecord persisted) {
 		this.phase = persisted.phase();
 		this.persistedPhase = persisted.phase();
+		persisted.declaration().ifPresent((later) -> this.declaration = Optional.of(later));
 		for (TaskRecord task : persisted.tasks()) {
 			StepState step = this.steps.get(task.step());
 			if (step != null && task.index() < step.tasks().size()) {
--- a/core/src/main/java/org/almondmount/workflow/impl/OutlivedQueues.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/OutlivedQueues.java
@@ -36,17 +36,20 @@
 			return;
 		}
 		TreeMap<String, Integer> jobsByQueue = new TreeMap<>();
+		int withoutDeclaration = 0;
 		for (JobState job : this.state.jobs().values()) {
 			String queue = job.workflow().queue();
 			if (!job.over() && this.state.configuration().queue(queue).isEmpty()) {
 				jobsByQueue.merge(queue, 1, Integer::sum);
+				withoutDeclaration += job.declaration().isEmpty() ? 1 : 0;
 			}
 		}
 		logDeclaredAgain();
 		if (!jobsByQueue.isEmpty() && !jobsByQueue.keySet().equals(this.outlived)) {
 			this.state.explain("jobs-outlive-queues", "revision", this.state.configuration().revision(), "queues",
 					shortened(jobsByQueue.keySet()), "queueCount", jobsByQueue.size(), "jobs",
-					jobsByQueue.values().stream().mapToInt(Integer::intValue).sum());
+					jobsByQueue.values().stream().mapToInt(Integer::intValue).sum(), "withoutDeclaration",
+					withoutDeclaration);
 		}
 		this.outlived = new TreeSet<>(jobsByQueue.keySet());
 	}
--- a/core/src/main/java/org/almondmount/workflow/impl/SchedulerState.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/SchedulerState.java
@@ -12,6 +12,7 @@
 import org.almondmount.workflow.FleetConfiguration;
 import org.almondmount.workflow.JobQueue;
 import org.almondmount.workflow.LoadDecision;
+import org.almondmount.workflow.QueueDeclaration;
 import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.SchedulerPolicy;
 import org.almondmount.workflow.WorkerIncarnation;
@@ -130,8 +131,18 @@
 		}
 	}
 
+	/**
+	 * Returns the queue of a job. A job whose queue was removed after the job had been
+	 * accepted keeps the latest declaration of it, or it could never run to its end.
+	 * @param job the job
+	 * @return the queue; empty before this process has read the configuration, or if no
+	 * declaration of the queue is known
+	 */
 	Optional<JobQueue> queueOf(JobState job) {
-		return this.configuration.queue(job.workflow().queue());
+		if (this.configuration.revision() == 0) {
+			return Optional.empty();
+		}
+		return job.declaration().map(QueueDeclaration::queue);
 	}
 
 	Set<String> zonesOut() {
--- a/fleet/src/main/java/org/almondmount/fleet/codec/RecordCodec.java
+++ b/fleet/src/main/java/org/almondmount/fleet/codec/RecordCodec.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Function;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -12,12 +13,14 @@
 import org.almondmount.model.InvalidValueException;
 import org.almondmount.term.TermRow;
 import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.JobQueue;
 import org.almondmount.workflow.JobRecord;
 import org.almondmount.workflow.JobRecord.Crash;
 import org.almondmount.workflow.JobRecord.FailedAttempt;
 import org.almondmount.workflow.JobRecord.OpenRun;
 import org.almondmount.workflow.JobRecord.StepKey;
 import org.almondmount.workflow.JobRecord.TaskRecord;
+import org.almondmount.workflow.QueueDeclaration;
 import org.almondmount.workflow.ResourceAmount;
 import org.almondmount.workflow.Step;
 import org.almondmount.workflow.WorkerIncarnation;
@@ -57,6 +60,7 @@
 		ObjectNode out = JSON.createObjectNode();
 		out.put("id", job.id()).put("queue", job.queue()).put("customer", job.customer());
 		out.put("program", job.program()).put("acceptedAt", job.acceptedAtMillis());
+		job.declaration().ifPresent((declaration) -> writeDeclaration(out.putArray("declared"), declaration));
 		if (job.schedule().hasDueTimes()) {
 			ObjectNode schedule = out.putObject("schedule");
 			schedule.put("first", job.schedule().firstDueMillis()).put("interval", job.schedule().intervalMillis());
@@ -81,7 +85,7 @@
 						scheduleNode.path("times").asInt());
 		return new Workflow(in.path("id").asText(), in.path("queue").asText(), in.path("customer").asText(),
 				in.path("program").asText(), readList(in.path("steps"), RecordCodec::readStep), schedule,
-				in.path("acceptedAt").asLong());
+				in.path("acceptedAt").asLong(), readDeclaration(in.path("queue").asText(), in.path("declared")));
 	}
 
 	public static String write(JobRecord job) {
@@ -91,6 +95,10 @@
 		job.doneSteps().forEach((key) -> done.addArray().add(key.occurrence()).add(key.step()));
 		ArrayNode tasks = out.putArray("tasks");
 		job.tasks().forEach((task) -> tasks.add(writeTask(task)));
+		job.declaration().ifPresent((declaration) -> {
+			out.put("queue", declaration.queue().name());
+			writeDeclaration(out.putArray("declared"), declaration);
+		});
 		return out.toString();
 	}
 
@@ -104,7 +112,26 @@
 		JsonNode in = parse("progress", text);
 		return new JobRecord(in.path("job").asText(), JobPhase.valueOf(in.path("phase").asText()),
 				readList(in.path("done"), (key) -> new StepKey(key.path(0).asInt(), key.path(1).asInt())),
-				readList(in.path("tasks"), RecordCodec::readTask));
+				readList(in.path("tasks"), RecordCodec::readTask),
+				readDeclaration(in.path("queue").asText(), in.path("declared")));
+	}
+
+	private static void writeDeclaration(ArrayNode out, QueueDeclaration declaration) {
+		JobQueue queue = declaration.queue();
+		out.add(declaration.revision()).add(queue.host()).add(queue.pathPrefix()).add(queue.pool());
+		out.add(queue.priority()).add(queue.maxAttempts());
+		out.add(queue.criticalPathFactor()).add(queue.latencyAllowanceMillis());
+		out.add(queue.anonymousAllowed() ? 1 : 0).add(queue.adviceRequired() ? 1 : 0);
+	}
+
+	private static Optional<QueueDeclaration> readDeclaration(String queue, JsonNode in) {
+		if (in.isMissingNode()) {
+			return Optional.empty();
+		}
+		return Optional.of(new QueueDeclaration(in.path(0).asLong(),
+				new JobQueue(queue, in.path(1).asText(), in.path(2).asText(), in.path(3).asText(), in.path(4).asInt(),
+						in.path(5).asInt(), in.path(6).asDouble(), in.path(7).asLong(), in.path(8).asInt() == 1,
+						in.path(9).asInt() == 1)));
 	}
 
 	private static ObjectNode writeStep(Step step) {
--- a/fleet/src/test/java/org/almondmount/fleet/codec/RecordCodecTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/codec/RecordCodecTests.java
@@ -1,11 +1,14 @@
 package org.almondmount.fleet.codec;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.almondmount.model.InvalidValueException;
 import org.almondmount.term.TermRow;
 import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.JobQueue;
 import org.almondmount.workflow.JobRecord;
+import org.almondmount.workflow.QueueDeclaration;
 import org.almondmount.workflow.ResourceAmount;
 import org.almondmount.workflow.Step;
 import org.almondmount.workflow.WorkerIncarnation;
@@ -28,6 +31,18 @@
 		assertThat(RecordCodec.readWorkflow(RecordCodec.write(job))).isEqualTo(job);
 	}
 
+	@Test
+	void theDeclarationOfAQueueIsReadAsItWasWritten() {
+		JobQueue queue = new JobQueue("q", "h.example", "/q/", "pool", 2, 3, 1.5, 800, true, false);
+		Optional<QueueDeclaration> declaration = Optional.of(new QueueDeclaration(7, queue));
+		Step step = new Step(1, ResourceAmount.NONE, 900, List.of(), false, false, Step.Placement.ANYWHERE, false,
+				Step.ServiceSpec.NONE);
+		Workflow job = new Workflow("j", "q", "c", "p", List.of(step), Workflow.Schedule.ONCE, 77, declaration);
+		JobRecord record = new JobRecord("j", JobPhase.QUEUED, List.of(), List.of(), declaration);
+		assertThat(RecordCodec.readWorkflow(RecordCodec.write(job))).isEqualTo(job);
+		assertThat(RecordCodec.readProgress(RecordCodec.write(record))).isEqualTo(record);
+	}
+
 	@Test
 	void progressIsReadAsItWasWritten() {
 		JobRecord.OpenRun run = new JobRecord.OpenRun(3, "target-1", new WorkerIncarnation("w", 12), 9);
--- a/fleet/src/test/java/org/almondmount/fleet/sim/FleetSimulation.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/FleetSimulation.java
@@ -23,12 +23,14 @@
 import org.almondmount.fleet.codec.RecordCodec;
 import org.almondmount.fleet.entry.FleetEntry;
 import org.almondmount.fleet.target.FleetTarget;
+import org.almondmount.rows.RowStore.Place;
 import org.almondmount.telemetry.EventLog;
 import org.almondmount.telemetry.Telemetry;
 import org.almondmount.term.TermRow;
 import org.almondmount.workflow.Checkpointing;
 import org.almondmount.workflow.FleetConfiguration;
 import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.QueueDeclaration;
 import org.almondmount.workflow.ResourceAmount;
 import org.almondmount.workflow.SchedulerFeature;
 import org.almondmount.workflow.Step;
@@ -60,6 +62,11 @@
 
 	static final String DECLARATION_TABLE = "op";
 
+	private static final Place DECLARATION = new Place(DECLARATION_TABLE, "config");
+
+	/** Attempts after which a caller gives a submission up. */
+	private static final int MAX_SUBMIT_ATTEMPTS = 8;
+
 	static final String ZONE_OUT_KEY_PREFIX = "out/";
 
 	/** The time for which a task that crashes its worker would run beyond the crash. */
@@ -90,6 +97,10 @@
 
 	private final Set<String> zonesOut = new HashSet<>();
 
+	private final SimulatedDeclaration declaration;
+
+	private long declaredRevision = 1;
+
 	private long placementRoundMillis;
 
 	FleetSimulation(long seed, int entryCount, int workerCount) {
@@ -98,6 +109,7 @@
 
 	FleetSimulation(long seed, int entryCount, int workerCount, SimulatedDeclaration declaration) {
 		this.random = new Random(seed);
+		this.declaration = declaration;
 		this.checker = new InvariantChecker(this.clock, declaration.maxAttempts());
 		this.store = new SimStore(this.clock, this.random);
 		this.store.put(DECLARATION_TABLE, "config", declaration.row());
@@ -256,6 +268,14 @@
 		});
 	}
 
+	/**
+	 * Declares queues under new names, and no others.
+	 * @param queueNames the names of the queues by the numbers of their paths
+	 */
+	void declareQueues(Map<Integer, String> queueNames) {
+		this.store.put(DECLARATION_TABLE, "config", this.declaration.row(++this.declaredRevision, queueNames));
+	}
+
 	/**
 	 * Takes a zone out of service for some time.
 	 * @param zone the zone
@@ -275,12 +295,15 @@
 
 	private void submitWithRetries(Workflow job, int attempts) {
 		EntryProcess entry = anyEntry();
-		if (entry.isDead()) {
-			this.clock.scheduleAfter(500, () -> submitWithRetries(job, attempts + 1));
+		Optional<Workflow> routed = entry.isDead() ? Optional.empty() : route(entry, job);
+		if (routed.isEmpty()) {
+			if (entry.isDead() || attempts < MAX_SUBMIT_ATTEMPTS) {
+				this.clock.scheduleAfter(500, () -> submitWithRetries(job, attempts + 1));
+			}
 			return;
 		}
 		this.checker.recordSubmission(job.id());
-		entry.entry.submit(job, SUBMIT_TIMEOUT_MILLIS).thenAccept((outcome) -> {
+		entry.entry.submit(routed.get(), SUBMIT_TIMEOUT_MILLIS).thenAccept((outcome) -> {
 			this.checker.recordAnswer(job.id(), outcome instanceof Submission.Refused);
 			if (outcome instanceof Submission.Accepted) {
 				this.acceptedJobs.add(job.id());
@@ -288,12 +311,25 @@
 					this.clock.scheduleAfter(3_000, () -> submitWithRetries(job, 100));
 				}
 			}
-			else if (attempts < 8) {
+			else if (attempts < MAX_SUBMIT_ATTEMPTS) {
 				this.clock.scheduleAfter(500, () -> submitWithRetries(job, attempts + 1));
 			}
 		});
 	}
 
+	// Callers use the path of a queue, whatever its name is. An entry without
+	// configuration keeps its callers waiting for a moment until it has read it.
+	private Optional<Workflow> route(EntryProcess entry, Workflow job) {
+		FleetConfiguration known = entry.configuration();
+		FleetConfiguration configuration = (known.revision() != 0) ? known
+				: SimulatedDeclaration.read(this.store.value(DECLARATION).orElseThrow());
+		String path = "/" + job.queue() + "/";
+		return configuration.route(SimulatedDeclaration.HOST, path)
+			.map((queue) -> new Workflow(job.id(), queue.name(), job.customer(), job.program(), job.steps(),
+					job.schedule(), job.acceptedAtMillis(),
+					Optional.of(new QueueDeclaration(configuration.revision(), queue))));
+	}
+
 	private EntryProcess anyEntry() {
 		List<EntryProcess> all = entries();
 		return all.get(this.random.nextInt(all.size()));
--- a/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/RandomTroubleTests.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
@@ -168,6 +170,17 @@
 		assertThat(simulation.checker().runningTasks(service.id())).isEqualTo(service.steps().get(0).taskCount());
 	}
 
+	// Guards against jobs that stand still because the configuration that declared their
+	// queue is gone, and no process remembers it.
+	@ParameterizedTest
+	@MethodSource("seeds")
+	void noPromiseIsBrokenWhileQueuesAreRemovedAndRenamed(long seed) {
+		Random random = new Random(~seed);
+		Map<Integer, String> queueNames = new TreeMap<>(SimulatedDeclaration.FIRST_QUEUE_NAMES);
+		runScenario(new FleetSimulation(seed, 3, 5), (simulation) -> changeQueues(simulation, random, queueNames),
+				RECOVERY_PHASE_MILLIS);
+	}
+
 	// Guards against crashes that no process observed: all processes were killed after
 	// most of them.
 	@ParameterizedTest
@@ -246,6 +259,35 @@
 		return List.of();
 	}
 
+	private static List<Workflow> changeQueues(FleetSimulation simulation, Random random,
+			Map<Integer, String> queueNames) {
+		int path = random.nextInt(3);
+		switch (random.nextInt(6)) {
+			case 0 -> queueNames.remove(path);
+			case 1 -> queueNames.put(path, "q" + path);
+			case 2 -> queueNames.put(path, "renamed-" + random.nextInt(1_000));
+			case 3 -> exchangeNames(queueNames, path, (path + 1) % 3);
+			case 4 -> queueNames.clear();
+			default -> {
+				simulation.entries().forEach(FleetSimulation.EntryProcess::kill);
+				queueNames.put(path, "renamed-" + random.nextInt(1_000));
+			}
+		}
+		simulation.declareQueues(queueNames);
+		return List.of();
+	}
+
+	private static void exchangeNames(Map<Integer, String> queueNames, int first, int second) {
+		String firstName = queueNames.remove(first);
+		String secondName = queueNames.remove(second);
+		if (firstName != null) {
+			queueNames.put(second, firstName);
+		}
+		if (secondName != null) {
+			queueNames.put(first, secondName);
+		}
+	}
+
 	private static void runScenario(FleetSimulation simulation, Function<FleetSimulation, List<Workflow>> injectMore,
 			long recoveryMillis) {
 		simulation.runFor(2_000);
