Waiting jobs of a removed queue count to the queue at its path

What callers saw: the number of waiting jobs at a path fell to 0 when operators renamed its queue, with all of the jobs still waiting.

Change: a job whose queue is removed counts to the queue that is declared at the path under which the job was accepted; where no queue is, nobody can ask. A queue that is declared again has its jobs back.

Measured: waitingJobsOfARemovedQueueCountToTheQueueAtItsPath fails with the former count and passes with the new one.

--- a/core/src/main/java/org/almondmount/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/WorkflowScheduler.java
@@ -32,7 +32,8 @@
 	Optional<String> failureMessage(String job);
 
 	/**
-	 * Returns the number of jobs of a queue of which no task has started.
+	 * Returns the number of jobs of a queue of which no task has started. Jobs whose own
+	 * queue was removed count to the queue that is declared at its path.
 	 * @param queue the name of the queue
 	 * @return the number of jobs
 	 */
--- a/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
+++ b/core/src/main/java/org/almondmount/workflow/impl/DefaultWorkflowScheduler.java
@@ -79,13 +79,28 @@
 	public int queuedJobCount(String queue) {
 		int waiting = 0;
 		for (JobState job : this.state.jobs().values()) {
-			if (job.phase() == JobPhase.QUEUED && job.workflow().queue().equals(queue)) {
+			if (job.phase() == JobPhase.QUEUED && isReachedThrough(queue, job)) {
 				waiting++;
 			}
 		}
 		return waiting;
 	}
 
+	// Callers know the path of a queue and not its name. Jobs whose queue was removed
+	// belong to the queue that is declared at the path under which they were accepted.
+	private boolean isReachedThrough(String queue, JobState job) {
+		FleetConfiguration configuration = this.state.configuration();
+		String ownQueue = job.workflow().queue();
+		if (ownQueue.equals(queue) || configuration.queue(ownQueue).isPresent()) {
+			return ownQueue.equals(queue);
+		}
+		return job.declaration()
+			.map(QueueDeclaration::queue)
+			.flatMap((removed) -> configuration.route(removed.host(), removed.pathPrefix()))
+			.filter((successor) -> successor.name().equals(queue))
+			.isPresent();
+	}
+
 	// The changes since the last placement round and the decisions of the round are
 	// written in one transaction. A tick completes a batch too, because the next round
 	// may be delayed while callers wait for the changes.
--- a/core/src/test/java/org/almondmount/workflow/RemovedQueueTests.java
+++ b/core/src/test/java/org/almondmount/workflow/RemovedQueueTests.java
@@ -117,6 +117,18 @@
 		assertThat(startsAfterAccepting(job)).isEmpty();
 	}
 
+	@Test
+	void waitingJobsOfARemovedQueueCountToTheQueueAtItsPath() {
+		beginTerm(0);
+		feed(new WorkflowEvent.JobAccepted(accepted("a", queue("q2", 2), step(1, 1))));
+		declare(2, queue("renamed", 2), queue("other", 1));
+		assertThat(queuedJobCount("renamed")).isOne();
+		assertThat(queuedJobCount("other")).isZero();
+		declare(3, queue("q2", 1), queue("renamed", 2));
+		assertThat(queuedJobCount("q2")).isOne();
+		assertThat(queuedJobCount("renamed")).isZero();
+	}
+
 	@Test
 	void theLogTellsWhenJobsOutliveTheirQueueAndWhenItIsDeclaredAgain() {
 		beginTerm(0);
--- a/core/src/test/java/org/almondmount/workflow/SchedulerFixture.java
+++ b/core/src/test/java/org/almondmount/workflow/SchedulerFixture.java
@@ -195,6 +195,10 @@
 		return this.scheduler.phase(job);
 	}
 
+	int queuedJobCount(String queue) {
+		return this.scheduler.queuedJobCount(queue);
+	}
+
 	Workflow job(String id, int priority, Step... steps) {
 		return jobOf("c", id, priority, steps);
 	}
