--- a/core/src/main/java/org/almondmount/workflow/FleetConfiguration.java
+++ b/core/src/main/java/org/almondmount/workflow/FleetConfiguration.java
@@ -76,6 +76,19 @@
 		return queue(name).map((queue) -> new QueueDeclaration(this.revision, queue));
 	}
 
+	/**
+	 * Returns the priority of a job, which keeps that of its queue if this configuration
+	 * does not declare the queue.
+	 * @param job the job
+	 * @return 0 for the most urgent, {@link Integer#MAX_VALUE} if no declaration of its
+	 * queue is known
+	 */
+	public int priority(Workflow job) {
+		return queue(job.queue()).or(() -> job.declaration().map(QueueDeclaration::queue))
+			.map(JobQueue::priority)
+			.orElse(Integer.MAX_VALUE);
+	}
+
 	public Optional<FleetCustomer> customer(String name) {
 		return Optional.ofNullable(this.customersByName.get(name));
 	}
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -33,7 +33,6 @@
 import org.almondmount.wire.WireEndpoint;
 import org.almondmount.wire.WireException;
 import org.almondmount.workflow.FleetConfiguration;
-import org.almondmount.workflow.JobQueue;
 import org.almondmount.workflow.SchedulerPolicy;
 import org.almondmount.workflow.Workflow;
 import org.almondmount.workflow.impl.DefaultWorkflowScheduler;
@@ -130,7 +129,7 @@
 		this.storeGossip = new StoreGossip(this.peers, this.storeTimeout, this.loop, this::probeStore);
 		EntryCalls calls = new EntryCalls(this.term, this.peers, this.loop);
 		this.intake = new JobIntake(store, this.loop, this.storeTimeout, telemetry, this.schedulerDriver, this.peers,
-				this.storeGossip, calls, this::queuePriority);
+				this.storeGossip, calls, (job) -> this.configuration.priority(job));
 		this.requestHandler = new JobRequestHandler(store, this.loop, this.storeTimeout, this.schedulerDriver, calls,
 				this.intake);
 		this.probe = new StoreProbe(store, this.loop, this.storeTimeout, this.intake::hasWaitingJobs);
@@ -271,11 +270,6 @@
 		this.loop.scheduleRepeatedly(HEARTBEAT_INTERVAL_MILLIS, this::sendHeartbeat);
 	}
 
-	// Jobs of a queue that is no longer declared have the lowest priority.
-	private int queuePriority(String queue) {
-		return this.configuration.queue(queue).map(JobQueue::priority).orElse(Integer.MAX_VALUE);
-	}
-
 	private List<Write> writesFor(long sequence) {
 		return this.schedulerDriver.writesFor(sequence);
 	}
--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
@@ -83,7 +83,7 @@
 
 	private final EntryCalls calls;
 
-	private final ToIntFunction<String> queuePriority;
+	private final ToIntFunction<Workflow> jobPriority;
 
 	private final IntakePolicy policy = IntakePolicy.DEFAULT;
 
@@ -106,11 +106,11 @@
 	 * @param peers the other entries
 	 * @param storeGossip which entries reach the store
 	 * @param calls calls to the holder
-	 * @param queuePriority returns the priority of a queue, 0 for the most urgent
+	 * @param jobPriority returns the priority of a job, 0 for the most urgent
 	 */
 	JobIntake(RowStore store, EventLoop loop, AdaptiveStoreTimeout storeTimeout, Telemetry telemetry,
 			SchedulerDriver schedulerDriver, PeerLinks peers, StoreGossip storeGossip, EntryCalls calls,
-			ToIntFunction<String> queuePriority) {
+			ToIntFunction<Workflow> jobPriority) {
 		this.store = store;
 		this.loop = loop;
 		this.storeTimeout = storeTimeout;
@@ -119,7 +119,7 @@
 		this.peers = peers;
 		this.storeGossip = storeGossip;
 		this.calls = calls;
-		this.queuePriority = queuePriority;
+		this.jobPriority = jobPriority;
 		telemetry.declare(REFUSALS_METRIC, IntakeRefusal.class);
 	}
 
@@ -247,7 +247,7 @@
 			abandon(attempt);
 			return;
 		}
-		int priority = this.queuePriority.applyAsInt(attempt.job().queue());
+		int priority = this.jobPriority.applyAsInt(attempt.job());
 		if (!this.queue.add(priority, expiresAtMillis, attempt)) {
 			attempt.setRefusal(IntakeRefusal.TOO_MANY_WAIT, "");
 			abandon(attempt);
