A repeated submission does not replace the stored job

What callers could see: a job that ran in another queue, for another customer or with other steps than stored, until the next change of holder. Looked for beside the jobs whose queue was renamed: a repeated submission is routed by the configuration of its moment.

Cause: an entry that found a job stored already told the holder of the job as it was submitted this time. A holder that did not know the job yet, because the entry that stored it was lost before it could notify, decided by that until its term ended, and the next holder by the row. Change: the store returns the row that is in the way, and the holder is told of that. RowDecoder is the one copy of how rows are decoded.

Left: an entry that forwards a job to another one still tells the holder of the job as it forwarded it; the other entry does so as well, with what is stored.

--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobIntake.java
@@ -14,6 +14,7 @@
 import org.almondmount.fleet.EventLoop;
 import org.almondmount.fleet.Submission;
 import org.almondmount.fleet.Tables;
+import org.almondmount.fleet.codec.RecordCodec;
 import org.almondmount.intake.IntakePolicy;
 import org.almondmount.intake.IntakeQueue;
 import org.almondmount.intake.IntakeRefusal;
@@ -203,10 +204,11 @@
 	}
 
 	private void onWriteEnded(IntakeAttempt attempt, long sentAtMillis, RowStore.Commit outcome, boolean awaited) {
-		if (outcome instanceof RowStore.Commit.Committed || outcome instanceof RowStore.Commit.Conflict) {
-			this.storeTimeout.onAnswer(this.loop.steadyMillis() - sentAtMillis);
-			onAccepted(attempt, outcome instanceof RowStore.Commit.Conflict);
-			writeQueued(MAX_CONCURRENT_WRITES);
+		if (outcome instanceof RowStore.Commit.Committed) {
+			onStored(attempt, sentAtMillis, false, Optional.of(attempt.job()));
+		}
+		else if (outcome instanceof RowStore.Commit.Conflict conflict) {
+			onStored(attempt, sentAtMillis, true, storedJob(attempt, conflict));
 		}
 		else if (awaited && outcome instanceof RowStore.Commit.Refused refused) {
 			attempt.setRefusal(IntakeRefusal.STORE_TURNS_AWAY, refused.why());
@@ -217,6 +219,23 @@
 		}
 	}
 
+	private void onStored(IntakeAttempt attempt, long sentAtMillis, boolean repeated, Optional<Workflow> storedJob) {
+		this.storeTimeout.onAnswer(this.loop.steadyMillis() - sentAtMillis);
+		onAccepted(attempt, repeated, storedJob);
+		writeQueued(MAX_CONCURRENT_WRITES);
+	}
+
+	// The row was written by an earlier submission of the job, whose queue may have had
+	// another name by then. The holder has to decide by the row, as the next holder will.
+	private static Optional<Workflow> storedJob(IntakeAttempt attempt, RowStore.Commit.Conflict conflict) {
+		Place place = Tables.job(attempt.job().id());
+		return conflict.current()
+			.stream()
+			.filter((row) -> row.place().equals(place))
+			.findFirst()
+			.flatMap((row) -> RowDecoder.decode(LOG, row, RecordCodec::readWorkflow));
+	}
+
 	private void onUnanswered(IntakeAttempt attempt, String reason) {
 		this.storeTimeout.onTimeout();
 		attempt.markUnsettled();
@@ -311,7 +330,7 @@
 				Math.min(remainingMillis, EntryCalls.HOLDER_TIMEOUT_MILLIS)), (answer) -> {
 					int status = answer.map(Message.ForwardAnswer::status).orElse(EntryCalls.UNSETTLED);
 					if (status == EntryCalls.OK) {
-						onAccepted(attempt, false);
+						onAccepted(attempt, false, Optional.of(attempt.job()));
 						return;
 					}
 					if (status != EntryCalls.UNAVAILABLE) {
@@ -321,7 +340,7 @@
 				});
 	}
 
-	private void onAccepted(IntakeAttempt attempt, boolean repeated) {
+	private void onAccepted(IntakeAttempt attempt, boolean repeated, Optional<Workflow> storedJob) {
 		if (attempt.accepted()) {
 			return;
 		}
@@ -332,12 +351,15 @@
 		this.telemetry.count(repeated ? "jobs.repeated" : "jobs.accepted");
 		this.unsettledJobs.remove(attempt.job().id());
 		attempt.outcome().complete(new Submission.Accepted());
+		storedJob.ifPresent(this::notifyHolder);
+	}
+
+	private void notifyHolder(Workflow job) {
 		if (this.schedulerDriver.mayDecide()) {
-			this.schedulerDriver.onJobAccepted(attempt.job());
+			this.schedulerDriver.onJobAccepted(job);
 			return;
 		}
-		this.calls.notifyHolder(EntryCalls.ACCEPTED, attempt.job().id(),
-				attempt.rowValue().getBytes(StandardCharsets.UTF_8));
+		this.calls.notifyHolder(EntryCalls.ACCEPTED, job.id(), RecordCodec.write(job).getBytes(StandardCharsets.UTF_8));
 	}
 
 	// An earlier call with an unknown outcome may still take effect, so a later call for
--- a/fleet/src/main/java/org/almondmount/fleet/entry/SchedulerDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/SchedulerDriver.java
@@ -10,13 +10,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import java.util.stream.Stream;
 
 import org.almondmount.fleet.EventLoop;
 import org.almondmount.fleet.Tables;
 import org.almondmount.fleet.codec.RecordCodec;
-import org.almondmount.model.InvalidValueException;
 import org.almondmount.rows.RowStore;
 import org.almondmount.rows.RowStore.Condition;
 import org.almondmount.rows.RowStore.Row;
@@ -390,13 +388,14 @@
 	private void finishLoading(long epoch, List<Row> intake, List<Row> progress) {
 		Map<String, JobRecord> records = new HashMap<>();
 		for (Row row : progress) {
-			decode(row, RecordCodec::readProgress).ifPresent((record) -> records.put(record.job(), record));
+			RowDecoder.decode(LOG, row, RecordCodec::readProgress)
+				.ifPresent((record) -> records.put(record.job(), record));
 		}
 		Set<String> cancelled = new HashSet<>();
 		Map<String, Workflow> jobs = new LinkedHashMap<>();
 		for (Row row : intake) {
 			if (Tables.isJobRow(row.place())) {
-				decode(row, RecordCodec::readWorkflow).ifPresent((job) -> jobs.put(job.id(), job));
+				RowDecoder.decode(LOG, row, RecordCodec::readWorkflow).ifPresent((job) -> jobs.put(job.id(), job));
 			}
 			else {
 				cancelled.add(Tables.jobId(row.place()));
@@ -494,7 +493,7 @@
 		}
 		String job = Tables.jobId(row.place());
 		if (Tables.isJobRow(row.place())) {
-			decode(row, RecordCodec::readWorkflow).ifPresent(this::onJobAccepted);
+			RowDecoder.decode(LOG, row, RecordCodec::readWorkflow).ifPresent(this::onJobAccepted);
 			return;
 		}
 		onCancelPersisted(job);
@@ -510,14 +509,4 @@
 		}
 	}
 
-	private static <T> Optional<T> decode(Row row, Function<String, T> reader) {
-		try {
-			return row.value().map(reader);
-		}
-		catch (IllegalArgumentException | InvalidValueException ex) {
-			LOG.warn("row-unreadable", "table", row.place().table(), "key", row.place().key(), "why", ex.getMessage());
-			return Optional.empty();
-		}
-	}
-
 }
--- a/fleet/src/test/java/org/almondmount/fleet/sim/StoredWithoutHolderTests.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/StoredWithoutHolderTests.java
@@ -1,9 +1,13 @@
 package org.almondmount.fleet.sim;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 import org.almondmount.fleet.JobAnswer;
+import org.almondmount.fleet.Tables;
+import org.almondmount.fleet.codec.RecordCodec;
 import org.almondmount.workflow.JobPhase;
+import org.almondmount.workflow.Step;
 import org.almondmount.workflow.Workflow;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -65,6 +69,28 @@
 		}
 	}
 
+	// Guards against a job that runs in another queue, or with other content, than
+	// stored:
+	// the entry that stored it was lost before it could notify the holder, and a repeated
+	// submission reached the holder before it read the store.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void aRepeatedSubmissionDoesNotReplaceTheStoredJob(boolean throughHolder) {
+		FleetSimulation simulation = new FleetSimulation(5, 3, 5);
+		simulation.runFor(3_000);
+		Workflow stored = simulation.smallJob(JOB);
+		simulation.checker().registerJob(stored, 500, false);
+		simulation.store().put(Tables.INTAKE, Tables.job(JOB).key(), RecordCodec.write(stored));
+		Step twoTasks = new Step(2, stored.steps().get(0).demand(), 1_000, List.of(), false, false,
+				Step.Placement.ANYWHERE, false, Step.ServiceSpec.NONE);
+		FleetSimulation.EntryProcess entry = throughHolder ? simulation.holder() : simulation.nonHolder();
+		entry.submit(new Workflow(JOB, "q2", "two", "p", List.of(twoTasks), Workflow.Schedule.ONCE,
+				stored.acceptedAtMillis()));
+		simulation.runFor(MAX_HANDOVER_MILLIS);
+		assertThat(simulation.checker().startCount()).isOne();
+		assertThat(simulation.checker().violations()).isEmpty();
+	}
+
 	// Guards against callers that wait for the answer of a holder that is down.
 	@Test
 	void aCancelIsAnsweredWithoutDelayThoughTheHolderDies() {
