Calls in progress share a bounded memory

What callers saw: a few dozen bodies of legal size, or heads of very many empty headers, ended the decision thread of an entry with OutOfMemoryError; the process stayed and answered nobody.

Cause: bodies were bounded one by one (8 MiB) and connections by number (4,096), but nothing bounded the sum. A body was held as the pieces of its reads, each with the whole buffer it came in, then copied; 14 KB of empty headers become half a megabyte once decoded.

Change: all servers of a process reserve from one CallMemory, an eighth of the heap, before bytes are kept: bytes of incomplete heads, each decoded header field, the array of a body (which is now assembled in one array instead of pieces), and answers until they are written. When it is used up, EvictionPolicy closes the connection that has occupied the most for the longest, never one with a complete call whose outcome its caller could not tell; what still does not fit is refused with 503, Retry-After and "not run". Reservations end on every way out, also where a connection is reset. The read timeout is one timer for the whole call. Closes have reasons of their own: overloaded, evicted, failed. Repeated headers are joined in linear time.

--- /dev/null
+++ b/core/src/test/java/org/almondmount/intake/EvictionPolicyTests.java
@@ -0,0 +1,45 @@
+package org.almondmount.intake;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.almondmount.intake.EvictionPolicy.Candidate;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EvictionPolicyTests {
+
+	private static final int KILOBYTE = 1_024;
+
+	private final List<Candidate<String>> candidates = new ArrayList<>();
+
+	// Guards against an ordinary call that is closed in favour of a crowd of large ones.
+	@Test
+	void theCallThatHasOccupiedTheMostForTheLongestIsClosedFirst() {
+		add("just begun", false, false, 256 * KILOBYTE, 0);
+		add("stalled", false, false, 256 * KILOBYTE, 5_000);
+		add("ordinary", false, false, 2 * KILOBYTE, 5);
+		assertThat(EvictionPolicy.selectToFree(this.candidates, 300 * KILOBYTE)).containsExactly("stalled",
+				"just begun");
+	}
+
+	// Guards against an unknown outcome: a complete call may have run already.
+	@Test
+	void aConnectionWithACompleteCallIsNeverClosed() {
+		add("pending", false, true, 256 * KILOBYTE, 5_000);
+		assertThat(EvictionPolicy.selectToFree(this.candidates, 1)).isEmpty();
+	}
+
+	@Test
+	void aStrangerIsClosedBeforeACallerWithAValidKey() {
+		add("customer", true, false, 256 * KILOBYTE, 2_000);
+		add("stranger", false, false, 256 * KILOBYTE, 1_000);
+		assertThat(EvictionPolicy.selectToFree(this.candidates, 1)).containsExactly("stranger");
+	}
+
+	private void add(String name, boolean authenticated, boolean pending, long bytes, long stalledMillis) {
+		this.candidates.add(new Candidate<>(name, new ConnectionLoad(authenticated, pending, bytes, stalledMillis)));
+	}
+
+}
--- a/runtime/src/main/java/org/almondmount/http/HttpCloseReason.java
+++ b/runtime/src/main/java/org/almondmount/http/HttpCloseReason.java
@@ -24,6 +24,18 @@
 	/** The headers or the body exceed their size limit. */
 	TOO_LARGE,
 
+	/** The memory for calls is used up, so the call was refused. */
+	OVERLOADED,
+
+	/**
+	 * The memory for calls or the connections are used up, and this connection occupied
+	 * the most for the longest.
+	 */
+	EVICTED,
+
+	/** The connection was reset or failed. */
+	FAILED,
+
 	/** The connection was still open at the drain deadline. */
 	DRAIN_DEADLINE
 
--- a/runtime/src/main/java/org/almondmount/http/HttpLimits.java
+++ b/runtime/src/main/java/org/almondmount/http/HttpLimits.java
@@ -17,4 +17,23 @@
 	/** The limits that apply by default. */
 	public static final HttpLimits DEFAULT = new HttpLimits(16 << 10, 8 << 20, 4_096, Duration.ofSeconds(10));
 
+	/**
+	 * Returns these limits with other sizes of calls.
+	 * @param headerBytes the maximum total size of the headers of a call
+	 * @param bodyBytes the maximum size of a body
+	 * @return the changed limits
+	 */
+	public HttpLimits withCallSizes(int headerBytes, int bodyBytes) {
+		return new HttpLimits(headerBytes, bodyBytes, this.maxConnections, this.readTimeout);
+	}
+
+	/**
+	 * Returns these limits with another number of connections.
+	 * @param connections the maximum number of open connections
+	 * @return the changed limits
+	 */
+	public HttpLimits withMaxConnections(int connections) {
+		return new HttpLimits(this.maxHeaderBytes, this.maxBodyBytes, connections, this.readTimeout);
+	}
+
 }
--- /dev/null
+++ b/runtime/src/main/java/org/almondmount/http/impl/CallAssembler.java
@@ -0,0 +1,169 @@
+package org.almondmount.http.impl;
+
+import java.util.Arrays;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.almondmount.http.CallMemory;
+import org.almondmount.http.HttpCall;
+
+/**
+ * Assembles complete calls from their parts. Confined to the connection's event-loop
+ * thread.
+ * <p>
+ * The body is copied into one array as it arrives: each part would keep the whole buffer
+ * that it was read into. Memory is reserved before it is used.
+ */
+final class CallAssembler extends SimpleChannelInboundHandler<HttpObject> {
+
+	/** Memory of a call besides its headers and body, rounded up. */
+	private static final int CALL_OVERHEAD_BYTES = 1_024;
+
+	private static final int INITIAL_BODY_BYTES = 4_096;
+
+	private static final byte[] NO_BODY = new byte[0];
+
+	private final HttpServerConnection connection;
+
+	private final CallMemory.Account memory;
+
+	/** The call without its body, null while its headers are being received. */
+	private HttpCall head;
+
+	private boolean keepAlive;
+
+	private byte[] body = NO_BODY;
+
+	private int bodyBytes;
+
+	private int maxBodyBytes;
+
+	private long reservedBytes;
+
+	CallAssembler(HttpServerConnection connection, CallMemory.Account memory) {
+		this.connection = connection;
+		this.memory = memory;
+	}
+
+	/**
+	 * Reserves memory for the call that is being received.
+	 * @param bytes the number of bytes
+	 * @return false if there is not enough memory
+	 */
+	boolean tryReserve(long bytes) {
+		if (!this.memory.tryReserve(bytes)) {
+			return false;
+		}
+		this.reservedBytes += bytes;
+		return true;
+	}
+
+	boolean isReceivingHead() {
+		return this.head == null;
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+		if (!this.connection.isReceiving()) {
+			return;
+		}
+		if (part.decoderResult().isFailure()) {
+			this.connection.refuseUndecodable(part.decoderResult().cause());
+			return;
+		}
+		if (part instanceof HttpRequest request) {
+			begin(ctx, request);
+		}
+		if (part instanceof HttpContent content && this.connection.isReceiving()) {
+			append(content.content());
+			if (content instanceof LastHttpContent && this.connection.isReceiving()) {
+				end();
+			}
+		}
+	}
+
+	private void begin(ChannelHandlerContext ctx, HttpRequest request) {
+		this.head = new HttpCall(request.method().name(), request.uri(), HeaderMapping.toMap(request.headers()),
+				NO_BODY);
+		this.keepAlive = HttpUtil.isKeepAlive(request);
+		this.maxBodyBytes = this.connection.limits().maxBodyBytes();
+		if (!tryReserve(CALL_OVERHEAD_BYTES)) {
+			this.connection.refuseForMemory();
+			return;
+		}
+		long length = HttpUtil.getContentLength(request, 0L);
+		if (length > this.maxBodyBytes) {
+			this.connection.refuseTooLarge(this.maxBodyBytes);
+			return;
+		}
+		boolean isChunked = HttpUtil.isTransferEncodingChunked(request);
+		if (length == 0 && !isChunked) {
+			return;
+		}
+		if (HttpUtil.is100ContinueExpected(request)) {
+			ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+					Unpooled.EMPTY_BUFFER));
+		}
+	}
+
+	private void append(ByteBuf part) {
+		int size = part.readableBytes();
+		if (size > this.maxBodyBytes - this.bodyBytes) {
+			this.connection.refuseTooLarge(this.maxBodyBytes);
+			return;
+		}
+		if (!ensureCapacity(this.bodyBytes + size)) {
+			this.connection.refuseForMemory();
+			return;
+		}
+		part.readBytes(this.body, this.bodyBytes, size);
+		this.bodyBytes += size;
+	}
+
+	private boolean ensureCapacity(int required) {
+		if (required <= this.body.length) {
+			return true;
+		}
+		int capacity = (int) Math.min(this.maxBodyBytes,
+				Math.max(required, Math.max(INITIAL_BODY_BYTES, this.body.length * 2L)));
+		if (!tryReserve(capacity - this.body.length)) {
+			return false;
+		}
+		this.body = Arrays.copyOf(this.body, capacity);
+		return true;
+	}
+
+	private void end() {
+		HttpCall call = new HttpCall(this.head.method(), this.head.path(), this.head.headers(),
+				Arrays.copyOf(this.body, this.bodyBytes));
+		long reserved = this.reservedBytes;
+		reset();
+		this.connection.onCall(call, this.keepAlive, reserved);
+	}
+
+	/**
+	 * Gives up the call that is being received and releases its memory.
+	 */
+	void abandonCall() {
+		this.memory.release(this.reservedBytes);
+		reset();
+	}
+
+	private void reset() {
+		this.head = null;
+		this.body = NO_BODY;
+		this.bodyBytes = 0;
+		this.reservedBytes = 0;
+	}
+
+}
--- a/runtime/src/main/java/org/almondmount/http/impl/HeaderMapping.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/HeaderMapping.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.StringJoiner;
 
 import io.netty.handler.codec.http.HttpHeaders;
 
@@ -29,13 +30,15 @@
 	}
 
 	static Map<String, String> toMap(HttpHeaders headers) {
-		Map<String, String> map = new LinkedHashMap<>();
+		Map<String, StringJoiner> values = new LinkedHashMap<>();
 		for (Map.Entry<String, String> header : headers) {
 			String name = header.getKey().toLowerCase(Locale.ROOT);
 			if (!CONNECTION_HEADERS.contains(name)) {
-				map.merge(name, header.getValue(), (first, second) -> first + ", " + second);
+				values.computeIfAbsent(name, (key) -> new StringJoiner(", ")).add(header.getValue());
 			}
 		}
+		Map<String, String> map = new LinkedHashMap<>();
+		values.forEach((name, joined) -> map.put(name, joined.toString()));
 		return map;
 	}
 
--- a/runtime/src/main/java/org/almondmount/http/impl/HttpServerConnection.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/HttpServerConnection.java
@@ -1,83 +1,135 @@
 package org.almondmount.http.impl;
 
+import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import org.almondmount.http.CallMemory;
 import org.almondmount.http.HttpAnswer;
 import org.almondmount.http.HttpCall;
 import org.almondmount.http.HttpCloseReason;
+import org.almondmount.http.HttpLimits;
 import org.almondmount.http.Problem;
+import org.almondmount.intake.ConnectionLoad;
 import org.almondmount.model.Refusal;
 import org.almondmount.model.RefusalReason;
+import org.almondmount.telemetry.EventLog;
 
 /**
- * A connection of the server. Confined to its event-loop thread.
+ * A connection of the server. Confined to its event-loop thread, except for what it
+ * occupies.
  */
-final class HttpServerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+final class HttpServerConnection extends ChannelInboundHandlerAdapter {
 
 	/**
 	 * User event that closes the connection unless a call is being received or processed.
 	 */
 	static final Object CLOSE_IF_IDLE = new Object();
 
+	private static final EventLog LOG = EventLog.named("HttpServer");
+
 	private static final int MAX_PIPELINED_CALLS = 16;
 
+	/** Memory of an answer besides its body, rounded up. */
+	private static final int ANSWER_OVERHEAD_BYTES = 512;
+
 	private static final long HALF_CLOSE_MILLIS = 1_000;
 
+	private static final Duration OVERLOAD_RETRY_AFTER = Duration.ofSeconds(1);
+
 	private final NettyHttpServer server;
 
 	private final SocketChannel channel;
 
+	private final CallMemory.Account memory;
+
+	private final CallAssembler assembler;
+
+	private final ReceiveGate gate;
+
+	/** Calls that have been received and not passed to the handler yet. */
+	private final Deque<ServerExchange> receivedExchanges = new ArrayDeque<>();
+
+	/** Calls that have been passed to the handler and not answered yet. */
 	private final Deque<ServerExchange> pendingExchanges = new ArrayDeque<>();
 
 	private boolean callStarted;
 
+	/** When the current call began, or the connection became idle. */
+	private long waitingSinceNanos;
+
 	private boolean closing;
 
 	private boolean refused;
 
+	private boolean dispatching;
+
 	private ScheduledFuture<?> timer;
 
+	private volatile int pendingCount;
+
+	private volatile long progressNanos = System.nanoTime();
+
 	HttpServerConnection(NettyHttpServer server, SocketChannel channel) {
 		this.server = server;
 		this.channel = channel;
+		this.memory = server.memory().open(this::load, this::evict);
+		this.assembler = new CallAssembler(this, this.memory);
+		this.gate = new ReceiveGate(this, this.assembler);
+	}
+
+	CallAssembler assembler() {
+		return this.assembler;
+	}
+
+	ReceiveGate gate() {
+		return this.gate;
+	}
+
+	HttpLimits limits() {
+		return this.server.limits();
 	}
 
 	/**
-	 * Creates a handler that detects the first bytes of a call before the codec decodes
-	 * them, so that the read timeout also covers incomplete calls.
-	 * @return the handler to place before the codec
+	 * Returns what the connection occupies. Thread-safe.
+	 * @param heldBytes the memory of its calls and answers
+	 * @return what the connection occupies
 	 */
-	ChannelHandler firstBytesHandler() {
-		return new ChannelInboundHandlerAdapter() {
+	ConnectionLoad load(long heldBytes) {
+		long stalledMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.progressNanos);
+		return new ConnectionLoad(false, this.pendingCount > 0, heldBytes, stalledMillis);
+	}
 
-			@Override
-			public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
-				onBytesReceived();
-				super.channelRead(ctx, bytes);
-			}
+	/**
+	 * Closes the connection in favour of others. Thread-safe.
+	 */
+	void evict() {
+		this.server.countClose(HttpCloseReason.EVICTED);
+		this.channel.close();
+	}
 
-		};
+	/**
+	 * Returns whether calls are still received.
+	 * @return false after a refusal that ends the connection
+	 */
+	boolean isReceiving() {
+		return !this.refused && !this.closing;
 	}
 
 	void execute(Runnable action) {
@@ -89,6 +141,50 @@
 		}
 	}
 
+	void onBytesReceived() {
+		if (!this.callStarted) {
+			this.callStarted = true;
+			this.waitingSinceNanos = System.nanoTime();
+		}
+	}
+
+	/**
+	 * Takes a complete call.
+	 * @param call the call
+	 * @param keepAlive whether the connection stays open after the answer
+	 * @param reservedBytes the memory reserved for the call
+	 */
+	void onCall(HttpCall call, boolean keepAlive, long reservedBytes) {
+		onCallEnded();
+		this.receivedExchanges.add(new ServerExchange(this, call, keepAlive, reservedBytes));
+		dispatch();
+	}
+
+	void refuseTooLarge(int maxBodyBytes) {
+		refuseAndClose(HttpCloseReason.TOO_LARGE,
+				Refusal.notRun(RefusalReason.TOO_LARGE, "the body is over " + maxBodyBytes + " bytes"));
+	}
+
+	void refuseForMemory() {
+		refuseAndClose(HttpCloseReason.OVERLOADED,
+				Refusal.notRun(RefusalReason.OVERLOADED, "the memory for calls is used up")
+					.withRetryAfter(OVERLOAD_RETRY_AFTER));
+	}
+
+	void refuseUndecodable(Throwable cause) {
+		if (cause instanceof ReservingHeaders.MemoryExceededException) {
+			refuseForMemory();
+			return;
+		}
+		if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
+			refuseAndClose(HttpCloseReason.TOO_LARGE,
+					Refusal.notRun(RefusalReason.TOO_LARGE, "the headers or the path are over their bound"));
+			return;
+		}
+		refuseAndClose(HttpCloseReason.JUNK,
+				Refusal.notRun(RefusalReason.INVALID, "the call is no HTTP/1.1: " + cause.getMessage()));
+	}
+
 	void writeReadyAnswers() {
 		boolean wrote = false;
 		while (!this.pendingExchanges.isEmpty() && this.pendingExchanges.peek().readyAnswer() != null
@@ -96,6 +192,7 @@
 			write(this.pendingExchanges.poll());
 			wrote = true;
 		}
+		this.pendingCount = this.pendingExchanges.size();
 		if (!wrote) {
 			return;
 		}
@@ -103,111 +200,137 @@
 		if (this.closing) {
 			return;
 		}
-		this.channel.config().setAutoRead(this.pendingExchanges.size() < MAX_PIPELINED_CALLS);
-		if (this.pendingExchanges.isEmpty()) {
-			startTimer();
+		dispatch();
+		if (hasNoCalls() && !this.callStarted) {
+			onIdle();
 		}
 	}
 
 	@Override
 	public void channelActive(ChannelHandlerContext ctx) {
-		startTimer();
+		onIdle();
+		checkReadTimeout();
 	}
 
-	@Override
-	public void channelInactive(ChannelHandlerContext ctx) {
+	/**
+	 * Takes note of the end of the connection, before the codec gives up what it was
+	 * decoding.
+	 */
+	void onClosed() {
 		this.closing = true;
-		stopTimer();
+		if (this.timer != null) {
+			this.timer.cancel(false);
+		}
+		this.receivedExchanges.clear();
 		while (!this.pendingExchanges.isEmpty()) {
 			this.pendingExchanges.poll().onDisconnected();
 		}
+		this.memory.close();
 	}
 
 	@Override
 	public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
-		if (event == CLOSE_IF_IDLE) {
-			if (this.pendingExchanges.isEmpty() && !this.callStarted) {
-				ctx.close();
-			}
-		}
-		else if (event == BoundedAggregator.MessageTooLarge.INSTANCE) {
-			refuseAndClose(HttpCloseReason.TOO_LARGE, refusal(RefusalReason.TOO_LARGE,
-					"the body is over " + this.server.limits().maxBodyBytes() + " bytes"));
-		}
-		else {
+		if (event != CLOSE_IF_IDLE) {
 			super.userEventTriggered(ctx, event);
 		}
+		else if (hasNoCalls() && !this.callStarted) {
+			ctx.close();
+		}
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		this.server.countClose(HttpCloseReason.FAILED);
+		if (!(cause instanceof IOException)) {
+			LOG.fault("connection-fault", cause);
+		}
 		ctx.close();
 	}
 
-	@Override
-	protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-		if (this.closing || this.refused) {
+	// Answers may be written while the handler runs, which dispatches the next call. The
+	// flag keeps that from nesting once for each call.
+	private void dispatch() {
+		if (this.dispatching) {
 			return;
 		}
-		this.callStarted = false;
-		stopTimer();
-		if (request.decoderResult().isFailure()) {
-			refuseUndecodable(request.decoderResult().cause());
-			return;
+		this.dispatching = true;
+		try {
+			while (mayDispatch()) {
+				dispatchNext();
+			}
+		}
+		finally {
+			this.dispatching = false;
 		}
-		HttpCall call = new HttpCall(request.method().name(), request.uri(), HeaderMapping.toMap(request.headers()),
-				ByteBufUtil.getBytes(request.content()));
-		ServerExchange exchange = new ServerExchange(this, call, HttpUtil.isKeepAlive(request));
+		updateReading();
+	}
+
+	private boolean mayDispatch() {
+		return !this.closing && !this.receivedExchanges.isEmpty();
+	}
+
+	private void dispatchNext() {
+		ServerExchange exchange = this.receivedExchanges.poll();
 		this.pendingExchanges.add(exchange);
-		if (this.pendingExchanges.size() >= MAX_PIPELINED_CALLS) {
-			this.channel.config().setAutoRead(false);
+		this.pendingCount = this.pendingExchanges.size();
+		if (exchange.call() == null) {
+			writeReadyAnswers();
+			return;
 		}
 		this.server.handler().handle(exchange);
 	}
 
-	private void onBytesReceived() {
-		if (!this.callStarted && !this.refused) {
-			this.callStarted = true;
-			startTimer();
-		}
+	private void updateReading() {
+		this.channel.config().setAutoRead(this.pendingExchanges.size() < MAX_PIPELINED_CALLS);
 	}
 
-	private void refuseUndecodable(Throwable cause) {
-		if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
-			refuseAndClose(HttpCloseReason.TOO_LARGE,
-					refusal(RefusalReason.TOO_LARGE, "the headers or the path are over their bound"));
-			return;
+	private void onCallEnded() {
+		this.callStarted = false;
+		this.progressNanos = System.nanoTime();
+		this.waitingSinceNanos = this.progressNanos;
+	}
+
+	private void onIdle() {
+		this.waitingSinceNanos = System.nanoTime();
+		if (this.server.isDraining() && !this.server.isLingering()) {
+			this.channel.close();
 		}
-		refuseAndClose(HttpCloseReason.JUNK,
-				refusal(RefusalReason.INVALID, "the call is no HTTP/1.1: " + cause.getMessage()));
 	}
 
-	private static Refusal refusal(RefusalReason reason, String detail) {
-		return Refusal.notRun(reason, detail);
+	private boolean hasNoCalls() {
+		return this.pendingExchanges.isEmpty() && this.receivedExchanges.isEmpty();
 	}
 
 	// Earlier calls on the connection still receive their answers in order. The refusal
 	// is queued after them, and everything received after the refused call is discarded.
 	private void refuseAndClose(HttpCloseReason reason, Refusal refusal) {
 		this.server.countClose(reason);
+		stopReceiving();
+		this.receivedExchanges.add(ServerExchange.answered(this, Problem.answer(refusal), false));
+		dispatch();
+	}
+
+	private void stopReceiving() {
 		this.refused = true;
-		ServerExchange exchange = new ServerExchange(this, null, false);
-		this.pendingExchanges.add(exchange);
-		exchange.answer(Problem.answer(refusal));
+		this.assembler.abandonCall();
 	}
 
 	private void write(ServerExchange exchange) {
 		boolean keepAlive = exchange.keepAlive() && !this.server.isDraining();
 		FullHttpResponse response = toNettyResponse(exchange.readyAnswer());
 		response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+		long answerBytes = ANSWER_OVERHEAD_BYTES + response.content().readableBytes();
+		this.memory.release(exchange.reservedBytes());
+		this.memory.reserve(answerBytes);
 		if (keepAlive) {
-			this.channel.write(response);
+			this.channel.write(response).addListener((written) -> onWritten(answerBytes));
 			return;
 		}
 		this.closing = true;
 		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		boolean isRefusal = exchange.call() == null;
 		this.channel.write(response).addListener((written) -> {
+			onWritten(answerBytes);
 			if (isRefusal && written.isSuccess()) {
 				halfClose();
 			}
@@ -217,11 +340,17 @@
 		});
 	}
 
+	private void onWritten(long answerBytes) {
+		this.memory.release(answerBytes);
+		this.progressNanos = System.nanoTime();
+	}
+
 	// Closing the socket while the caller is still sending causes a TCP reset, which can
 	// discard the refusal before the caller has read it. Therefore only the output is
 	// shut down at first; the socket is closed when the caller closes its side, or after
 	// HALF_CLOSE_MILLIS.
 	private void halfClose() {
+		this.closing = true;
 		this.channel.shutdownOutput();
 		this.channel.eventLoop().schedule(() -> this.channel.close(), HALF_CLOSE_MILLIS, TimeUnit.MILLISECONDS);
 	}
@@ -240,29 +369,20 @@
 		}
 	}
 
-	private void startTimer() {
-		stopTimer();
-		if (!this.pendingExchanges.isEmpty() || this.closing) {
+	// A single timer covers the whole call and idle connections alike. It is not reset by
+	// each byte, so that a byte now and then does not keep a connection open.
+	private void checkReadTimeout() {
+		if (this.closing) {
 			return;
 		}
-		if (this.server.isDraining() && !this.server.isLingering() && !this.callStarted) {
+		long timeoutNanos = this.server.limits().readTimeout().toNanos();
+		long remainingNanos = hasNoCalls() ? this.waitingSinceNanos + timeoutNanos - System.nanoTime() : timeoutNanos;
+		if (remainingNanos <= 0) {
+			this.server.countClose((this.callStarted) ? HttpCloseReason.SLOW_CALLER : HttpCloseReason.IDLE);
 			this.channel.close();
 			return;
 		}
-		long millis = this.server.limits().readTimeout().toMillis();
-		this.timer = this.channel.eventLoop().schedule(this::onReadTimeout, millis, TimeUnit.MILLISECONDS);
-	}
-
-	private void stopTimer() {
-		if (this.timer != null) {
-			this.timer.cancel(false);
-			this.timer = null;
-		}
-	}
-
-	private void onReadTimeout() {
-		this.server.countClose((this.callStarted) ? HttpCloseReason.SLOW_CALLER : HttpCloseReason.IDLE);
-		this.channel.close();
+		this.timer = this.channel.eventLoop().schedule(this::checkReadTimeout, remainingNanos, TimeUnit.NANOSECONDS);
 	}
 
 }
--- a/runtime/src/main/java/org/almondmount/http/impl/NettyHttpServer.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/NettyHttpServer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -19,8 +20,10 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import org.almondmount.http.CallMemory;
 import org.almondmount.http.HttpCloseReason;
 import org.almondmount.http.HttpHandler;
 import org.almondmount.http.HttpLimits;
@@ -46,7 +49,9 @@
 
 	private final IoThreads io;
 
-	private final HttpLimits limits;
+	private final Supplier<HttpLimits> limits;
+
+	private final CallMemory memory;
 
 	private final HttpHandler handler;
 
@@ -62,9 +67,11 @@
 
 	private volatile Channel listener;
 
-	private NettyHttpServer(IoThreads io, HttpLimits limits, HttpHandler handler, Telemetry telemetry) {
+	private NettyHttpServer(IoThreads io, Supplier<HttpLimits> limits, CallMemory memory, HttpHandler handler,
+			Telemetry telemetry) {
 		this.io = io;
 		this.limits = limits;
+		this.memory = memory;
 		this.handler = handler;
 		this.telemetry = telemetry;
 		telemetry.declare(CLOSE_COUNTERS, HttpCloseReason.class);
@@ -82,7 +89,24 @@
 	 */
 	public static CompletableFuture<HttpServer> start(IoThreads io, InetSocketAddress address, HttpLimits limits,
 			HttpHandler handler, Telemetry telemetry) {
-		return new NettyHttpServer(io, limits, handler, telemetry).bind(address);
+		return start(io, address, () -> limits, CallMemory.ofHeap(), handler, telemetry);
+	}
+
+	/**
+	 * Starts a server whose limits change while it runs.
+	 * @param io the I/O threads
+	 * @param address the address to listen on; with port 0 the system assigns a free port
+	 * @param limits returns the current limits; a new size of headers applies to new
+	 * connections, everything else to the next call
+	 * @param memory the memory that all servers of the process share
+	 * @param handler handles the calls
+	 * @param telemetry counts the connections that the server closes
+	 * @return a future of the server, completed when its socket is bound; it fails if the
+	 * socket can't be bound
+	 */
+	public static CompletableFuture<HttpServer> start(IoThreads io, InetSocketAddress address,
+			Supplier<HttpLimits> limits, CallMemory memory, HttpHandler handler, Telemetry telemetry) {
+		return new NettyHttpServer(io, limits, memory, handler, telemetry).bind(address);
 	}
 
 	/**
@@ -95,7 +119,7 @@
 	 * left.
 	 * @param address the address to listen on
 	 * @return the listening socket, for
-	 * {@link #start(IoThreads, ServerSocketChannel, HttpLimits, HttpHandler, Telemetry)}
+	 * {@link #start(IoThreads, ServerSocketChannel, Supplier, CallMemory, HttpHandler, Telemetry)}
 	 * @throws IOException if the address can't be bound
 	 */
 	public static ServerSocketChannel openListeningSocket(InetSocketAddress address) throws IOException {
@@ -108,14 +132,15 @@
 	 * Starts a server on a socket that is already listening.
 	 * @param io the I/O threads
 	 * @param socket the listening socket
-	 * @param limits the limits of the server
+	 * @param limits returns the current limits
+	 * @param memory the memory that all servers of the process share
 	 * @param handler handles the calls
 	 * @param telemetry counts the connections that the server closes
 	 * @return a future of the server, completed when it accepts connections
 	 */
-	public static CompletableFuture<HttpServer> start(IoThreads io, ServerSocketChannel socket, HttpLimits limits,
-			HttpHandler handler, Telemetry telemetry) {
-		NettyHttpServer server = new NettyHttpServer(io, limits, handler, telemetry);
+	public static CompletableFuture<HttpServer> start(IoThreads io, ServerSocketChannel socket,
+			Supplier<HttpLimits> limits, CallMemory memory, HttpHandler handler, Telemetry telemetry) {
+		NettyHttpServer server = new NettyHttpServer(io, limits, memory, handler, telemetry);
 		return server
 			.toServerFuture(server.bootstrap().channelFactory(() -> new NioServerSocketChannel(socket)).register());
 	}
@@ -156,7 +181,11 @@
 	}
 
 	HttpLimits limits() {
-		return this.limits;
+		return this.limits.get();
+	}
+
+	CallMemory memory() {
+		return this.memory;
 	}
 
 	HttpHandler handler() {
@@ -224,20 +253,25 @@
 		@Override
 		protected void initChannel(SocketChannel channel) {
 			NettyHttpServer server = NettyHttpServer.this;
-			if (server.connections.size() >= server.limits.maxConnections()) {
+			HttpLimits limits = server.limits();
+			if (server.connections.size() >= limits.maxConnections()) {
 				server.countClose(HttpCloseReason.TOO_MANY_CONNECTIONS);
 				channel.close();
 				return;
 			}
 			server.connections.add(channel);
-			HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
-				.setMaxHeaderSize(server.limits.maxHeaderBytes());
 			HttpServerConnection connection = new HttpServerConnection(server, channel);
+			CallAssembler assembler = connection.assembler();
+			HttpHeadersFactory headers = ReservingHeaders.factory(assembler::tryReserve);
+			HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+				.setMaxHeaderSize(limits.maxHeaderBytes())
+				.setHeadersFactory(headers)
+				.setTrailersFactory(headers);
 			channel.pipeline()
-				.addLast(new ResponseWriteTimeoutHandler(server, server.limits.readTimeout()))
-				.addLast(connection.firstBytesHandler())
+				.addLast(new ResponseWriteTimeoutHandler(server, limits.readTimeout()))
+				.addLast(connection.gate())
 				.addLast(new HttpServerCodec(config))
-				.addLast(new BoundedAggregator(server.limits.maxBodyBytes()))
+				.addLast(assembler)
 				.addLast(connection);
 		}
 
--- a/runtime/src/main/java/org/almondmount/http/impl/ServerExchange.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/ServerExchange.java
@@ -20,6 +20,8 @@
 
 	private final boolean keepAlive;
 
+	private final long reservedBytes;
+
 	private final AtomicBoolean answered = new AtomicBoolean();
 
 	private final List<Runnable> disconnectActions = new ArrayList<>(1);
@@ -28,10 +30,25 @@
 
 	private HttpAnswer answer;
 
-	ServerExchange(HttpServerConnection connection, HttpCall call, boolean keepAlive) {
+	ServerExchange(HttpServerConnection connection, HttpCall call, boolean keepAlive, long reservedBytes) {
 		this.connection = connection;
 		this.call = call;
 		this.keepAlive = keepAlive;
+		this.reservedBytes = reservedBytes;
+	}
+
+	/**
+	 * Creates an exchange that the server itself has answered.
+	 * @param connection the connection
+	 * @param answer the answer
+	 * @param keepAlive whether the connection stays open after the answer
+	 * @return the exchange, which is not passed to the handler
+	 */
+	static ServerExchange answered(HttpServerConnection connection, HttpAnswer answer, boolean keepAlive) {
+		ServerExchange exchange = new ServerExchange(connection, null, keepAlive, 0);
+		exchange.answered.set(true);
+		exchange.answer = answer;
+		return exchange;
 	}
 
 	@Override
@@ -65,6 +82,14 @@
 		return this.keepAlive;
 	}
 
+	/**
+	 * Returns the memory reserved for the call.
+	 * @return the number of bytes
+	 */
+	long reservedBytes() {
+		return this.reservedBytes;
+	}
+
 	HttpAnswer readyAnswer() {
 		return this.answer;
 	}
--- a/runtime/src/test/java/org/almondmount/http/impl/NettyHttpServerTests.java
+++ b/runtime/src/test/java/org/almondmount/http/impl/NettyHttpServerTests.java
@@ -7,6 +7,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -14,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import org.almondmount.http.CallMemory;
 import org.almondmount.http.HttpAnswer;
 import org.almondmount.http.HttpExchange;
 import org.almondmount.http.HttpHandler;
@@ -37,6 +39,10 @@
 
 	private final List<HttpExchange> exchanges = new CopyOnWriteArrayList<>();
 
+	private CallMemory memory = CallMemory.ofHeap();
+
+	private HttpLimits limits = LIMITS;
+
 	private HttpServer server;
 
 	@AfterEach
@@ -67,7 +73,9 @@
 		try (Socket caller = new Socket(address.getAddress(), address.getPort())) {
 			caller.setSoTimeout(5_000);
 			send(caller, "GET /one HTTP/1.1\r\nhost: a\r\n\r\n");
-			this.server = NettyHttpServer.start(this.io, early, LIMITS, this.exchanges::add, this.telemetry).get();
+			this.server = NettyHttpServer
+				.start(this.io, early, () -> LIMITS, CallMemory.ofHeap(), this.exchanges::add, this.telemetry)
+				.get();
 			Awaitility.await().until(() -> this.exchanges.size() == 1);
 			this.exchanges.get(0).answer(text("first"));
 			assertThat(readUntil(caller, "first")).startsWith("HTTP/1.1 200");
@@ -232,9 +240,71 @@
 		}
 	}
 
+	// Guards against a sum of bodies, each of legal size, that the process can't hold.
+	@Test
+	void bodiesThatTogetherExceedTheMemoryForCallsAreClosedTheLargestFirst() throws IOException {
+		this.memory = new CallMemory(30_000);
+		this.limits = LIMITS.withMaxConnections(100);
+		start((exchange) -> exchange.answer(text("got " + exchange.call().body().length)));
+		List<Socket> stalled = new ArrayList<>();
+		try (Socket ordinary = connect()) {
+			for (int i = 0; i < 20; i++) {
+				stalled.add(connect());
+				send(stalled.get(i), "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2000\r\n\r\n" + "x".repeat(1_900));
+			}
+			Awaitility.await().until(() -> count("http.cut.evicted") + count("http.cut.overloaded") > 0);
+			assertThat(this.memory.usedBytes()).isLessThanOrEqualTo(30_000);
+			send(ordinary, "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc");
+			assertThat(readUntil(ordinary, "got 3")).startsWith("HTTP/1.1 200");
+		}
+		for (Socket each : stalled) {
+			each.close();
+		}
+		Awaitility.await().until(() -> this.memory.usedBytes() == 0);
+	}
+
+	// Guards against very many short headers, which take up a hundred times their size.
+	@Test
+	void aCallThatFindsNoMemoryIsRefusedAsNotRun() throws IOException {
+		this.memory = new CallMemory(20_000);
+		start(this.exchanges::add);
+		try (Socket caller = connect()) {
+			send(caller, "GET / HTTP/1.1\r\nhost: a\r\n" + "a:\r\n".repeat(200) + "\r\n");
+			assertThat(readAll(caller)).startsWith("HTTP/1.1 503").contains("retry-after: 1").contains("not-run");
+			assertThat(count("http.cut.overloaded")).isEqualTo(1);
+			assertThat(this.exchanges).isEmpty();
+		}
+		Awaitility.await().until(() -> this.memory.usedBytes() == 0);
+	}
+
+	@Test
+	void aBodyOfExactlyTheLimitIsServedInChunksOfOneByte() throws IOException {
+		start((exchange) -> exchange.answer(text("got " + exchange.call().body().length)));
+		try (Socket caller = connect()) {
+			send(caller, "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(2_048)
+					+ "0\r\n\r\n");
+			assertThat(readUntil(caller, "got 2048")).startsWith("HTTP/1.1 200");
+		}
+	}
+
+	// Guards against a byte now and then that keeps a connection for good.
+	@Test
+	void aCallerThatSendsAByteNowAndThenIsDisconnected() throws IOException {
+		start(this.exchanges::add);
+		try (Socket caller = connect()) {
+			Awaitility.await().pollInterval(Duration.ofMillis(50)).until(() -> {
+				if (count("http.cut.slow-caller") == 0) {
+					send(caller, "x");
+				}
+				return count("http.cut.slow-caller") == 1;
+			});
+		}
+	}
+
 	private void start(HttpHandler handler) {
 		InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-		this.server = NettyHttpServer.start(this.io, any, LIMITS, handler, this.telemetry).join();
+		this.server = NettyHttpServer.start(this.io, any, () -> this.limits, this.memory, handler, this.telemetry)
+			.join();
 	}
 
 	private Socket connect() throws IOException {
