Calls sent ahead wait until their answers are read

Cause: reading stopped at 16 calls without an answer, but calls answered at once never counted, and nothing looked at whether answers were read.

Change: calls are passed to the handler one after the other, only while the connection's unread answers are below 32 KB and at most 16 are pending; a connection with pending calls of 64 KB or more reads no further one.

--- a/runtime/src/main/java/org/almondmount/http/impl/HttpServerConnection.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/HttpServerConnection.java
@@ -34,6 +34,9 @@
 /**
  * A connection of the server. Confined to its event-loop thread, except for what it
  * occupies.
+ * <p>
+ * Calls are passed to the handler one after the other as long as the caller reads the
+ * answers, so that calls sent ahead cost no more than their bytes.
  */
 final class HttpServerConnection extends ChannelInboundHandlerAdapter {
 
@@ -46,6 +49,12 @@
 
 	private static final int MAX_PIPELINED_CALLS = 16;
 
+	/**
+	 * Memory of calls in progress from which no further call is read. A caller that sends
+	 * large calls ahead gets one at a time.
+	 */
+	private static final long MAX_PIPELINED_BYTES = 64 << 10;
+
 	/** Memory of an answer besides its body, rounded up. */
 	private static final int ANSWER_OVERHEAD_BYTES = 512;
 
@@ -228,6 +237,11 @@
 		this.memory.close();
 	}
 
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+		dispatch();
+	}
+
 	@Override
 	public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
 		if (event != CLOSE_IF_IDLE) {
@@ -266,7 +280,8 @@
 	}
 
 	private boolean mayDispatch() {
-		return !this.closing && !this.receivedExchanges.isEmpty();
+		return !this.closing && !this.receivedExchanges.isEmpty() && this.pendingExchanges.size() < MAX_PIPELINED_CALLS
+				&& this.channel.isWritable();
 	}
 
 	private void dispatchNext() {
@@ -281,7 +296,15 @@
 	}
 
 	private void updateReading() {
-		this.channel.config().setAutoRead(this.pendingExchanges.size() < MAX_PIPELINED_CALLS);
+		boolean mayPipeline = this.pendingExchanges.isEmpty()
+				|| (this.pendingExchanges.size() < MAX_PIPELINED_CALLS && pendingBytes() < MAX_PIPELINED_BYTES);
+		this.channel.config()
+			.setAutoRead(
+					this.receivedExchanges.isEmpty() && mayPipeline && this.channel.isWritable());
+	}
+
+	private long pendingBytes() {
+		return this.pendingExchanges.stream().mapToLong(ServerExchange::reservedBytes).sum();
 	}
 
 	private void onCallEnded() {
--- a/runtime/src/main/java/org/almondmount/http/impl/NettyHttpServer.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/NettyHttpServer.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
@@ -47,6 +48,9 @@
 
 	private static final int MAX_INITIAL_LINE_BYTES = 8 << 10;
 
+	/** Bytes of unread answers at which calls stop being processed, and go on. */
+	private static final WriteBufferWaterMark UNREAD_ANSWERS = new WriteBufferWaterMark(16 << 10, 32 << 10);
+
 	private final IoThreads io;
 
 	private final Supplier<HttpLimits> limits;
@@ -206,6 +210,7 @@
 	private ServerBootstrap bootstrap() {
 		return new ServerBootstrap().group(this.io.group())
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNREAD_ANSWERS)
 			.childHandler(new ConnectionInitializer());
 	}
 
--- a/runtime/src/test/java/org/almondmount/http/impl/NettyHttpServerTests.java
+++ b/runtime/src/test/java/org/almondmount/http/impl/NettyHttpServerTests.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.almondmount.http.CallMemory;
 import org.almondmount.http.HttpAnswer;
@@ -240,6 +241,23 @@
 		}
 	}
 
+	// Guards against calls sent ahead without reading, which pile up as answers.
+	@Test
+	void callsSentAheadWaitUntilTheAnswersAreRead() throws IOException {
+		AtomicInteger handled = new AtomicInteger();
+		start((exchange) -> {
+			handled.incrementAndGet();
+			exchange.answer(new HttpAnswer(200, Map.of(), new byte[1 << 20]));
+		});
+		try (Socket caller = connect()) {
+			send(caller, "GET / HTTP/1.1\r\nhost: a\r\n\r\n".repeat(200));
+			Awaitility.await().until(() -> count("http.cut.slow-reader") == 1);
+			assertThat(handled.get()).isBetween(1, 100);
+			assertThat(this.memory.usedBytes()).isLessThan(20 << 20);
+		}
+		Awaitility.await().until(() -> this.memory.usedBytes() == 0);
+	}
+
 	// Guards against a sum of bodies, each of legal size, that the process can't hold.
 	@Test
 	void bodiesThatTogetherExceedTheMemoryForCallsAreClosedTheLargestFirst() throws IOException {
