Connections of many small parts read in turns

What callers saw: bodies in chunks of one byte, or heads of empty headers, kept the I/O thread busy: none of 4 ordinary jobs accepted beside 60 such connections on.

Cause: whatever one read brought was decoded without a break, for each connection as often as it had bytes.

Change: a connection has an allowance of decoded parts (64 at once, 2,000 a second). What exceeds it waits in ReadPacer, which lets one connection at a time go on, the one that used the least first, for at most half of the thread if several wait. Received bytes pass to the codec in portions of 256 bytes of a head, 2 KB of a body. Waiting connections may hold half of the memory for calls; beyond that TurnDecision refuses them, spaced out so that callers that connect again at once do not turn refusals into load. The decoder's own requests for more bytes are withheld while a connection waits.

Tried before: charging measured time.

Evidence: ProcessingAllowanceTests, TurnDecisionTests, AbusiveClientsTests.

--- a/runtime/src/main/java/org/almondmount/http/CallMemory.java
+++ b/runtime/src/main/java/org/almondmount/http/CallMemory.java
@@ -158,6 +158,10 @@
 			}
 		}
 
+		public long heldBytes() {
+			return this.heldBytes.get();
+		}
+
 		private synchronized boolean add(long bytes) {
 			if (this.closed) {
 				return false;
--- a/runtime/src/main/java/org/almondmount/http/impl/CallAssembler.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/CallAssembler.java
@@ -31,6 +31,9 @@
 
 	private static final int INITIAL_BODY_BYTES = 4_096;
 
+	/** Size of a part of a body that takes as long to parse as a header field. */
+	private static final int BODY_PART_BYTES = 64;
+
 	private static final byte[] NO_BODY = new byte[0];
 
 	private final HttpServerConnection connection;
@@ -50,6 +53,8 @@
 
 	private long reservedBytes;
 
+	private long partCount;
+
 	CallAssembler(HttpServerConnection connection, CallMemory.Account memory) {
 		this.connection = connection;
 		this.memory = memory;
@@ -72,11 +77,33 @@
 		return this.head == null;
 	}
 
+	/**
+	 * Returns how many parts have been decoded since the last time.
+	 * @return the number of header fields and parts of bodies; a complete body counts as
+	 * many as the handler has to parse
+	 */
+	long takePartCount() {
+		long count = this.partCount;
+		this.partCount = 0;
+		return count;
+	}
+
+	/**
+	 * Reserves memory for a decoded header field.
+	 * @param bytes the number of bytes
+	 * @return false if there is not enough memory
+	 */
+	boolean tryReserveField(long bytes) {
+		this.partCount++;
+		return tryReserve(bytes);
+	}
+
 	@Override
 	protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
 		if (!this.connection.isReceiving()) {
 			return;
 		}
+		this.partCount++;
 		if (part.decoderResult().isFailure()) {
 			this.connection.refuseUndecodable(part.decoderResult().cause());
 			return;
@@ -146,6 +173,7 @@
 	private void end() {
 		HttpCall call = new HttpCall(this.head.method(), this.head.path(), this.head.headers(),
 				Arrays.copyOf(this.body, this.bodyBytes));
+		this.partCount += this.bodyBytes / BODY_PART_BYTES;
 		long reserved = this.reservedBytes;
 		reset();
 		this.connection.onCall(call, this.keepAlive, reserved);
--- a/runtime/src/main/java/org/almondmount/http/impl/HttpServerConnection.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/HttpServerConnection.java
@@ -27,6 +27,8 @@
 import org.almondmount.http.HttpLimits;
 import org.almondmount.http.Problem;
 import org.almondmount.intake.ConnectionLoad;
+import org.almondmount.intake.ProcessingAllowance;
+import org.almondmount.intake.TurnDecision;
 import org.almondmount.model.Refusal;
 import org.almondmount.model.RefusalReason;
 import org.almondmount.telemetry.EventLog;
@@ -72,6 +74,10 @@
 
 	private final ReceiveGate gate;
 
+	private final ReadPacer pacer;
+
+	private final ProcessingAllowance allowance = new ProcessingAllowance();
+
 	/** Calls that have been received and not passed to the handler yet. */
 	private final Deque<ServerExchange> receivedExchanges = new ArrayDeque<>();
 
@@ -87,6 +93,8 @@
 
 	private boolean refused;
 
+	private boolean waitsForTurn;
+
 	private boolean dispatching;
 
 	private ScheduledFuture<?> timer;
@@ -98,6 +106,7 @@
 	HttpServerConnection(NettyHttpServer server, SocketChannel channel) {
 		this.server = server;
 		this.channel = channel;
+		this.pacer = server.pacer(channel.eventLoop());
 		this.memory = server.memory().open(this::load, this::evict);
 		this.assembler = new CallAssembler(this, this.memory);
 		this.gate = new ReceiveGate(this, this.assembler);
@@ -157,6 +166,40 @@
 		}
 	}
 
+	/**
+	 * Charges the work that a portion of received bytes has caused. A connection that has
+	 * used up its allowance goes on when it is its turn.
+	 * @param nowNanos the time of the steady clock
+	 * @param portionNanos the processing time of the portion
+	 * @return whether the connection waits for its turn
+	 */
+	boolean mustWait(long nowNanos, long portionNanos) {
+		boolean isUsedUp = this.allowance.charge(nowNanos, 1 + this.assembler.takePartCount());
+		if (isUsedUp && !this.waitsForTurn && this.channel.isActive()) {
+			this.waitsForTurn = true;
+			this.pacer.enqueue(this, portionNanos);
+			updateReading();
+		}
+		return this.waitsForTurn;
+	}
+
+	void takeTurn(TurnDecision decision) {
+		this.waitsForTurn = false;
+		if (decision == TurnDecision.REFUSE && isReceiving()) {
+			refuseForMemory();
+		}
+		this.gate.passOn();
+		updateReading();
+	}
+
+	long heldBytes() {
+		return this.memory.heldBytes();
+	}
+
+	long usedParts() {
+		return this.allowance.usedParts();
+	}
+
 	/**
 	 * Takes a complete call.
 	 * @param call the call
@@ -230,6 +273,7 @@
 		if (this.timer != null) {
 			this.timer.cancel(false);
 		}
+		this.pacer.remove(this);
 		this.receivedExchanges.clear();
 		while (!this.pendingExchanges.isEmpty()) {
 			this.pendingExchanges.poll().onDisconnected();
@@ -300,7 +344,7 @@
 				|| (this.pendingExchanges.size() < MAX_PIPELINED_CALLS && pendingBytes() < MAX_PIPELINED_BYTES);
 		this.channel.config()
 			.setAutoRead(
-					this.receivedExchanges.isEmpty() && mayPipeline && this.channel.isWritable());
+					!this.waitsForTurn && this.receivedExchanges.isEmpty() && mayPipeline && this.channel.isWritable());
 	}
 
 	private long pendingBytes() {
--- a/runtime/src/main/java/org/almondmount/http/impl/NettyHttpServer.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/NettyHttpServer.java
@@ -5,7 +5,9 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
@@ -15,6 +17,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
@@ -63,6 +66,8 @@
 
 	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
 
+	private final Map<EventLoop, ReadPacer> pacers = new ConcurrentHashMap<>();
+
 	private final AtomicBoolean cleanDrain = new AtomicBoolean(true);
 
 	private volatile boolean draining;
@@ -192,6 +197,10 @@
 		return this.memory;
 	}
 
+	ReadPacer pacer(EventLoop loop) {
+		return this.pacers.computeIfAbsent(loop, (key) -> new ReadPacer(key, this.memory));
+	}
+
 	HttpHandler handler() {
 		return this.handler;
 	}
@@ -267,7 +276,8 @@
 			server.connections.add(channel);
 			HttpServerConnection connection = new HttpServerConnection(server, channel);
 			CallAssembler assembler = connection.assembler();
-			HttpHeadersFactory headers = ReservingHeaders.factory(assembler::tryReserve);
+			channel.config().setRecvByteBufAllocator(new ReadSizes(assembler));
+			HttpHeadersFactory headers = ReservingHeaders.factory(assembler::tryReserveField);
 			HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
 				.setMaxHeaderSize(limits.maxHeaderBytes())
 				.setHeadersFactory(headers)
