A newcomer takes the place of a stalled connection

Change: at the limit, the connections that have made no progress for the longest (100 ms at least) and have no complete call are closed, up to 32 at a time, instead of the newcomer.

--- a/core/src/main/java/org/almondmount/intake/EvictionPolicy.java
+++ b/core/src/main/java/org/almondmount/intake/EvictionPolicy.java
@@ -15,10 +15,20 @@
  */
 public final class EvictionPolicy {
 
+	/**
+	 * Time that a caller gets to send its call after connecting, in milliseconds: some
+	 * round trips of a distant network.
+	 */
+	static final long MIN_STALLED_MILLIS = 100;
+
 	private static final Comparator<Candidate<?>> LARGEST_OCCUPANCY_FIRST = Comparator
 		.<Candidate<?>>comparingLong((candidate) -> candidate.load().occupancy())
 		.reversed();
 
+	private static final Comparator<Candidate<?>> LONGEST_STALL_FIRST = Comparator
+		.<Candidate<?>>comparingLong((candidate) -> candidate.load().stall())
+		.reversed();
+
 	private EvictionPolicy() {
 	}
 
@@ -45,6 +55,23 @@
 		return selected;
 	}
 
+	/**
+	 * Chooses connections that make room for new ones.
+	 * @param <C> the type of the connections
+	 * @param candidates the open connections
+	 * @param maxCount the maximum number of connections to choose
+	 * @return the connections to close, none if all of them make progress
+	 */
+	public static <C> List<C> selectForNewcomers(List<Candidate<C>> candidates, int maxCount) {
+		return candidates.stream()
+			.filter((candidate) -> candidate.load().isEvictable()
+					&& candidate.load().stalledMillis() >= MIN_STALLED_MILLIS)
+			.sorted(LONGEST_STALL_FIRST)
+			.limit(maxCount)
+			.map(Candidate::connection)
+			.toList();
+	}
+
 	/**
 	 * A connection and what it occupies.
 	 *
--- a/core/src/test/java/org/almondmount/intake/EvictionPolicyTests.java
+++ b/core/src/test/java/org/almondmount/intake/EvictionPolicyTests.java
@@ -29,6 +29,7 @@
 	void aConnectionWithACompleteCallIsNeverClosed() {
 		add("pending", false, true, 256 * KILOBYTE, 5_000);
 		assertThat(EvictionPolicy.selectToFree(this.candidates, 1)).isEmpty();
+		assertThat(EvictionPolicy.selectForNewcomers(this.candidates, 1)).isEmpty();
 	}
 
 	@Test
@@ -36,6 +37,17 @@
 		add("customer", true, false, 256 * KILOBYTE, 2_000);
 		add("stranger", false, false, 256 * KILOBYTE, 1_000);
 		assertThat(EvictionPolicy.selectToFree(this.candidates, 1)).containsExactly("stranger");
+		assertThat(EvictionPolicy.selectForNewcomers(this.candidates, 1)).containsExactly("stranger");
+	}
+
+	// Guards against newcomers that push each other out before they can send anything.
+	@Test
+	void aNewcomerTakesThePlaceOfStalledConnectionsOnly() {
+		add("just connected", false, false, 0, EvictionPolicy.MIN_STALLED_MILLIS - 1);
+		add("stalled", false, false, 0, 1_000);
+		add("longest stalled", false, false, 0, 9_000);
+		assertThat(EvictionPolicy.selectForNewcomers(this.candidates, 5)).containsExactly("longest stalled", "stalled");
+		assertThat(EvictionPolicy.selectForNewcomers(this.candidates, 1)).containsExactly("longest stalled");
 	}
 
 	private void add(String name, boolean authenticated, boolean pending, long bytes, long stalledMillis) {
--- a/runtime/src/main/java/org/almondmount/http/impl/NettyHttpServer.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/NettyHttpServer.java
@@ -5,6 +5,8 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -32,6 +34,8 @@
 import org.almondmount.http.HttpHandler;
 import org.almondmount.http.HttpLimits;
 import org.almondmount.http.HttpServer;
+import org.almondmount.intake.EvictionPolicy;
+import org.almondmount.intake.EvictionPolicy.Candidate;
 import org.almondmount.net.IoThreads;
 import org.almondmount.telemetry.Telemetry;
 
@@ -54,6 +58,9 @@
 	/** Bytes of unread answers at which calls stop being processed, and go on. */
 	private static final WriteBufferWaterMark UNREAD_ANSWERS = new WriteBufferWaterMark(16 << 10, 32 << 10);
 
+	/** Connections that are closed at a time to make room for new ones. */
+	private static final int MAX_EVICTIONS = 32;
+
 	private final IoThreads io;
 
 	private final Supplier<HttpLimits> limits;
@@ -236,6 +243,19 @@
 		return bound;
 	}
 
+	private boolean makeRoomForNewcomer() {
+		List<Candidate<HttpServerConnection>> candidates = new ArrayList<>();
+		for (Channel open : this.connections) {
+			HttpServerConnection connection = open.pipeline().get(HttpServerConnection.class);
+			if (connection != null) {
+				candidates.add(new Candidate<>(connection, connection.load(0)));
+			}
+		}
+		List<HttpServerConnection> victims = EvictionPolicy.selectForNewcomers(candidates, MAX_EVICTIONS);
+		victims.forEach(HttpServerConnection::evict);
+		return !victims.isEmpty();
+	}
+
 	private void onLingerEnd(CompletableFuture<Boolean> done) {
 		this.lingering = false;
 		this.listener.close();
@@ -268,7 +288,7 @@
 		protected void initChannel(SocketChannel channel) {
 			NettyHttpServer server = NettyHttpServer.this;
 			HttpLimits limits = server.limits();
-			if (server.connections.size() >= limits.maxConnections()) {
+			if (server.connections.size() >= limits.maxConnections() && !server.makeRoomForNewcomer()) {
 				server.countClose(HttpCloseReason.TOO_MANY_CONNECTIONS);
 				channel.close();
 				return;
