A call that its head decides is answered without its body

Change: a handler can check a call's head. The body is discarded as it arrives, within the same size and time limits. A caller whose key was found valid is evicted later than a stranger.

Evidence: aCallThatIsRefusedByItsHeadIsAnsweredBeforeItsBody.

--- a/daemon/src/main/java/org/almondmount/daemon/entry/api/EntryHttp.java
+++ b/daemon/src/main/java/org/almondmount/daemon/entry/api/EntryHttp.java
@@ -5,9 +5,11 @@
 import java.util.Map;
 import java.util.Optional;
 
+import io.vavr.control.Either;
 import org.almondmount.daemon.entry.json.DocumentException;
 import org.almondmount.daemon.entry.json.Json;
 import org.almondmount.daemon.entry.json.KeyText;
+import org.almondmount.http.HeadCheck;
 import org.almondmount.http.HttpAnswer;
 import org.almondmount.http.HttpCall;
 import org.almondmount.http.HttpExchange;
@@ -78,6 +80,28 @@
 		}
 	}
 
+	@Override
+	public HeadCheck checkHead(HttpCall head) {
+		if (!head.path().startsWith(API)) {
+			return HeadCheck.UNKNOWN;
+		}
+		return authenticate(head).fold((refusal) -> HeadCheck.answered(refusal(refusal)),
+				(caller) -> HeadCheck.AUTHENTICATED);
+	}
+
+	private Either<Refusal, Caller> authenticate(HttpCall call) {
+		Optional<Caller> caller = this.tokens.caller(call.headers().get("authorization"));
+		if (caller.isEmpty()) {
+			return Either
+				.left(Refusal.notRun(RefusalReason.UNAUTHENTICATED, "the call carries no token that is known"));
+		}
+		if (this.refusing) {
+			return Either
+				.left(Refusal.notRun(RefusalReason.DRAINING, "the entry shuts down").withRetryAfter(COME_BACK));
+		}
+		return Either.right(caller.get());
+	}
+
 	private void route(HttpExchange exchange) {
 		HttpCall call = exchange.call();
 		String path = call.path();
@@ -85,13 +109,9 @@
 			probe(exchange, call);
 			return;
 		}
-		Optional<Caller> caller = this.tokens.caller(call.headers().get("authorization"));
-		if (caller.isEmpty()) {
-			refuse(exchange, Refusal.notRun(RefusalReason.UNAUTHENTICATED, "the call carries no token that is known"));
-			return;
-		}
-		if (this.refusing) {
-			refuse(exchange, Refusal.notRun(RefusalReason.DRAINING, "the entry shuts down").withRetryAfter(COME_BACK));
+		Either<Refusal, Caller> caller = authenticate(call);
+		if (caller.isLeft()) {
+			refuse(exchange, caller.getLeft());
 			return;
 		}
 		if (path.startsWith(CALLS)) {
@@ -147,8 +167,12 @@
 	}
 
 	private void refuse(HttpExchange exchange, Refusal refusal) {
+		exchange.answer(refusal(refusal));
+	}
+
+	private HttpAnswer refusal(Refusal refusal) {
 		this.telemetry.count("refused", refusal.reason());
-		exchange.answer(Problem.answer(refusal));
+		return Problem.answer(refusal);
 	}
 
 	private static HttpAnswer document(int status, Object document) {
--- a/runtime/src/main/java/org/almondmount/http/HttpHandler.java
+++ b/runtime/src/main/java/org/almondmount/http/HttpHandler.java
@@ -13,4 +13,14 @@
 	 */
 	void handle(HttpExchange exchange);
 
+	/**
+	 * Checks a call whose body is about to be received. A call that is answered here is
+	 * not passed to {@link #handle}.
+	 * @param head the call without its body
+	 * @return what is known about the call
+	 */
+	default HeadCheck checkHead(HttpCall head) {
+		return HeadCheck.UNKNOWN;
+	}
+
 }
--- a/runtime/src/main/java/org/almondmount/http/impl/CallAssembler.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/CallAssembler.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.almondmount.http.CallMemory;
+import org.almondmount.http.HeadCheck;
 import org.almondmount.http.HttpCall;
 
 /**
@@ -45,6 +46,8 @@
 
 	private boolean keepAlive;
 
+	private boolean discarding;
+
 	private byte[] body = NO_BODY;
 
 	private int bodyBytes;
@@ -137,6 +140,12 @@
 		if (length == 0 && !isChunked) {
 			return;
 		}
+		HeadCheck check = this.connection.checkHead(this.head);
+		if (check.answer().isPresent()) {
+			this.discarding = true;
+			this.connection.answerEarly(check.answer().get(), this.keepAlive);
+			return;
+		}
 		if (HttpUtil.is100ContinueExpected(request)) {
 			ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
 					Unpooled.EMPTY_BUFFER));
@@ -146,14 +155,20 @@
 	private void append(ByteBuf part) {
 		int size = part.readableBytes();
 		if (size > this.maxBodyBytes - this.bodyBytes) {
+			if (this.discarding) {
+				this.connection.closeAfterAnswers();
+				return;
+			}
 			this.connection.refuseTooLarge(this.maxBodyBytes);
 			return;
 		}
-		if (!ensureCapacity(this.bodyBytes + size)) {
-			this.connection.refuseForMemory();
-			return;
+		if (!this.discarding) {
+			if (!ensureCapacity(this.bodyBytes + size)) {
+				this.connection.refuseForMemory();
+				return;
+			}
+			part.readBytes(this.body, this.bodyBytes, size);
 		}
-		part.readBytes(this.body, this.bodyBytes, size);
 		this.bodyBytes += size;
 	}
 
@@ -171,6 +186,11 @@
 	}
 
 	private void end() {
+		if (this.discarding) {
+			abandonCall();
+			this.connection.onCallDiscarded();
+			return;
+		}
 		HttpCall call = new HttpCall(this.head.method(), this.head.path(), this.head.headers(),
 				Arrays.copyOf(this.body, this.bodyBytes));
 		this.partCount += this.bodyBytes / BODY_PART_BYTES;
@@ -191,6 +211,7 @@
 		this.head = null;
 		this.body = NO_BODY;
 		this.bodyBytes = 0;
+		this.discarding = false;
 		this.reservedBytes = 0;
 	}
 
--- a/runtime/src/main/java/org/almondmount/http/impl/HttpServerConnection.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/HttpServerConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import org.almondmount.http.CallMemory;
+import org.almondmount.http.HeadCheck;
 import org.almondmount.http.HttpAnswer;
 import org.almondmount.http.HttpCall;
 import org.almondmount.http.HttpCloseReason;
@@ -99,6 +100,8 @@
 
 	private ScheduledFuture<?> timer;
 
+	private volatile boolean authenticated;
+
 	private volatile int pendingCount;
 
 	private volatile long progressNanos = System.nanoTime();
@@ -131,7 +134,7 @@
 	 */
 	ConnectionLoad load(long heldBytes) {
 		long stalledMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.progressNanos);
-		return new ConnectionLoad(false, this.pendingCount > 0, heldBytes, stalledMillis);
+		return new ConnectionLoad(this.authenticated, this.pendingCount > 0, heldBytes, stalledMillis);
 	}
 
 	/**
@@ -200,6 +203,12 @@
 		return this.allowance.usedParts();
 	}
 
+	HeadCheck checkHead(HttpCall head) {
+		HeadCheck check = this.server.handler().checkHead(head);
+		this.authenticated = check.authenticated();
+		return check;
+	}
+
 	/**
 	 * Takes a complete call.
 	 * @param call the call
@@ -212,6 +221,34 @@
 		dispatch();
 	}
 
+	/**
+	 * Takes note of the end of a call that was answered before its body arrived.
+	 */
+	void onCallDiscarded() {
+		onCallEnded();
+	}
+
+	/**
+	 * Answers a call whose body has not been received.
+	 * @param answer the answer
+	 * @param keepAlive whether the connection stays open after the answer
+	 */
+	void answerEarly(HttpAnswer answer, boolean keepAlive) {
+		this.receivedExchanges.add(ServerExchange.answered(this, answer, keepAlive));
+		dispatch();
+	}
+
+	/**
+	 * Closes the connection once the calls that were received are answered.
+	 */
+	void closeAfterAnswers() {
+		this.server.countClose(HttpCloseReason.TOO_LARGE);
+		stopReceiving();
+		if (hasNoCalls()) {
+			halfClose();
+		}
+	}
+
 	void refuseTooLarge(int maxBodyBytes) {
 		refuseAndClose(HttpCloseReason.TOO_LARGE,
 				Refusal.notRun(RefusalReason.TOO_LARGE, "the body is over " + maxBodyBytes + " bytes"));
@@ -253,7 +290,13 @@
 			return;
 		}
 		dispatch();
-		if (hasNoCalls() && !this.callStarted) {
+		if (!hasNoCalls()) {
+			return;
+		}
+		if (this.refused) {
+			halfClose();
+		}
+		else if (!this.callStarted) {
 			onIdle();
 		}
 	}
--- a/runtime/src/test/java/org/almondmount/http/impl/NettyHttpServerTests.java
+++ b/runtime/src/test/java/org/almondmount/http/impl/NettyHttpServerTests.java
@@ -22,6 +22,7 @@
 import org.almondmount.http.HttpHandler;
 import org.almondmount.http.HttpLimits;
 import org.almondmount.http.HttpServer;
+import org.almondmount.http.ProbeHandler;
 import org.almondmount.net.IoThreads;
 import org.almondmount.telemetry.Telemetry;
 import org.awaitility.Awaitility;
@@ -315,6 +316,22 @@
 		Awaitility.await().until(() -> this.memory.usedBytes() == 0);
 	}
 
+	// Guards against memory for bodies of calls that are refused whatever they contain.
+	@Test
+	void aCallThatIsRefusedByItsHeadIsAnsweredBeforeItsBody() throws IOException {
+		start(new ProbeHandler(() -> text("refused")));
+		try (Socket caller = connect()) {
+			send(caller, "POST /one HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nab");
+			assertThat(readUntil(caller, "refused")).startsWith("HTTP/1.1 200");
+			send(caller, "cdeGET /two HTTP/1.1\r\nhost: a\r\n\r\n");
+			assertThat(readUntil(caller, "refused")).startsWith("HTTP/1.1 200");
+			send(caller, "POST /three HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n1000\r\n"
+					+ "x".repeat(4_096));
+			assertThat(readAll(caller)).startsWith("HTTP/1.1 200");
+			assertThat(count("http.cut.too-large")).isEqualTo(1);
+		}
+	}
+
 	@Test
 	void aBodyOfExactlyTheLimitIsServedInChunksOfOneByte() throws IOException {
 		start((exchange) -> exchange.answer(text("got " + exchange.call().body().length)));
