--- a/core/src/main/java/org/almondmount/workflow/FleetConfiguration.java
+++ b/core/src/main/java/org/almondmount/workflow/FleetConfiguration.java
@@ -22,6 +22,8 @@
 
 	private final List<FleetCustomer> customers;
 
+	private final Optional<RequestLimits> requestLimits;
+
 	private final Map<String, JobQueue> queuesByName = new HashMap<>();
 
 	private final Map<String, FleetCustomer> customersByKey = new HashMap<>();
@@ -29,7 +31,13 @@
 	private final Map<String, FleetCustomer> customersByName = new HashMap<>();
 
 	public FleetConfiguration(long revision, List<JobQueue> queues, List<String> pools, List<FleetCustomer> customers) {
+		this(revision, queues, pools, customers, Optional.empty());
+	}
+
+	public FleetConfiguration(long revision, List<JobQueue> queues, List<String> pools, List<FleetCustomer> customers,
+			Optional<RequestLimits> requestLimits) {
 		this.revision = revision;
+		this.requestLimits = requestLimits;
 		this.queues = List.copyOf(queues);
 		this.pools = List.copyOf(pools);
 		this.customers = List.copyOf(customers);
@@ -51,6 +59,14 @@
 		return this.revision;
 	}
 
+	/**
+	 * Returns the sizes of requests that callers may send.
+	 * @return the declared limits, empty if none are declared
+	 */
+	public Optional<RequestLimits> requestLimits() {
+		return this.requestLimits;
+	}
+
 	public List<JobQueue> queues() {
 		return this.queues;
 	}
