A duty goes on when even the report of its fault fails

Cause: EventProcessor caught what its handler threw, but not what the report of it threw; the second OutOfMemoryError ended the thread and left a process that looks alive. A task that is repeated by the timer was never run again after it had thrown something.

Evidence: theThreadGoesOnWhenEvenTheReportOfAFaultFails fails before.

--- a/fleet/src/main/java/org/almondmount/fleet/SingleThreadEventLoop.java
+++ b/fleet/src/main/java/org/almondmount/fleet/SingleThreadEventLoop.java
@@ -53,7 +53,8 @@
 
 	@Override
 	public void scheduleRepeatedly(long intervalMillis, Runnable task) {
-		this.timer.scheduleWithFixedDelay(() -> execute(task), intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+		this.timer.scheduleWithFixedDelay(() -> executeRepeated(task), intervalMillis, intervalMillis,
+				TimeUnit.MILLISECONDS);
 	}
 
 	@Override
@@ -66,6 +67,16 @@
 		}
 	}
 
+	// The timer never runs a task again that has thrown something.
+	private void executeRepeated(Runnable task) {
+		try {
+			execute(task);
+		}
+		catch (RuntimeException | Error ex) {
+			LOG.fault("alarm-fault", ex);
+		}
+	}
+
 	@Override
 	public void close() {
 		this.timer.shutdownNow();
--- a/runtime/src/main/java/org/almondmount/concurrent/EventProcessor.java
+++ b/runtime/src/main/java/org/almondmount/concurrent/EventProcessor.java
@@ -34,6 +34,8 @@
 
 	private volatile boolean closed;
 
+	private volatile long unreportedCount;
+
 	/**
 	 * Creates a processor; {@link #start()} starts its thread.
 	 * @param name the name of the thread
@@ -114,8 +116,28 @@
 			this.handler.accept(element);
 		}
 		catch (RuntimeException | Error ex) {
-			this.faultHandler.accept(ex);
+			report(ex);
+		}
+	}
+
+	// The report fails as well when memory is short. Without its thread the process would
+	// look alive and do nothing, so the thread goes on and leaves the end of the process
+	// to the JVM.
+	private void report(Throwable fault) {
+		try {
+			this.faultHandler.accept(fault);
 		}
+		catch (RuntimeException | Error ex) {
+			this.unreportedCount++;
+		}
+	}
+
+	/**
+	 * Returns how many faults could not be reported.
+	 * @return the number since the start
+	 */
+	public long unreportedCount() {
+		return this.unreportedCount;
 	}
 
 	// An element offered between the check of the queue and parkNanos would otherwise
--- a/runtime/src/test/java/org/almondmount/concurrent/EventProcessorTests.java
+++ b/runtime/src/test/java/org/almondmount/concurrent/EventProcessorTests.java
@@ -36,6 +36,26 @@
 		}
 	}
 
+	// Guards against a process that looks alive while its thread for decisions is gone.
+	@Test
+	void theThreadGoesOnWhenEvenTheReportOfAFaultFails() {
+		List<Integer> done = new CopyOnWriteArrayList<>();
+		try (EventProcessor<Integer> processor = new EventProcessor<>("test-duty", 4, (element) -> {
+			if (element == 0) {
+				throw new OutOfMemoryError("simulated");
+			}
+			done.add(element);
+		}, (fault) -> {
+			throw new OutOfMemoryError("simulated");
+		})) {
+			processor.start();
+			processor.offer(0);
+			processor.offer(1);
+			Awaitility.await().until(() -> done.equals(List.of(1)));
+			assertThat(processor.unreportedCount()).isEqualTo(1);
+		}
+	}
+
 	@Test
 	void offerReturnsFalseWhenQueueIsFull() throws InterruptedException {
 		CountDownLatch release = new CountDownLatch(1);
