--- a/core/src/main/java/org/almondmount/intake/ProcessingAllowance.java
+++ b/core/src/main/java/org/almondmount/intake/ProcessingAllowance.java
@@ -1,6 +1,6 @@
 package org.almondmount.intake;
 
-import java.util.concurrent.TimeUnit;
+import java.time.Duration;
 
 /**
  * Limits the work that one connection causes, so that many small pieces do not keep a
@@ -20,7 +20,7 @@
 	/** Parts per second, as of a hundred ordinary calls. */
 	private static final long EARNED_PARTS_PER_SECOND = 2_000;
 
-	private static final long NANOS_PER_PART = TimeUnit.SECONDS.toNanos(1) / EARNED_PARTS_PER_SECOND;
+	private static final long NANOS_PER_PART = Duration.ofSeconds(1).toNanos() / EARNED_PARTS_PER_SECOND;
 
 	private long usedParts;
 
