--- /dev/null
+++ b/review/standins-2/MovedStore.java
@@ -0,0 +1,36 @@
+/**
+ * The settings files change to another address of the same store, and later the machines
+ * with minions are stopped and started in turn.
+ */
+final class MovedStore extends Case {
+
+	public static void main(String[] args) throws Exception {
+		run(new MovedStore(), args[0]);
+	}
+
+	@Override
+	int play() throws Exception {
+		startSmall();
+		requireState(submit(job(8, 4_000, 1_500, "")), "completed", 15_000);
+		if (this.trouble) {
+			// The store answers on both addresses all the while.
+			this.deployment.moveStore(this.deployment.listenForStore());
+			this.deployment.hangUp();
+			pause(5_000);
+			requireState(submit(job(8, 4_000, 1_500, "")), "completed", 15_000);
+			for (String side : this.deployment.sides()) {
+				this.deployment.restart(side);
+				pause(2_000);
+			}
+		}
+		// Longer than the longest lease and than contact_timeout_ms.
+		pause(10_000);
+		String job = submit(job(4, 4_000, 2_000, ""));
+		// finish_s after the last request, a job is judged.
+		long idle = longestIdle(job, 14_000 + 7_000);
+		String state = awaitState(job, "completed", 15_000);
+		this.record.add("21 s and more after its confirmation the job is " + state);
+		return (idle >= 7_000 && !state.equals("completed")) ? BROKEN : HELD;
+	}
+
+}
