--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -82,8 +82,13 @@
 
 	/** Submits a job and fails the case if it isn't accepted. */
 	String submit(String body) throws InterruptedException {
+		return submit(Deployment.PREFIX, body);
+	}
+
+	/** Submits a job to a queue and fails the case if it isn't accepted. */
+	String submit(String prefix, String body) throws InterruptedException {
 		String id = newId();
-		Deployment.Answer answer = this.deployment.call("POST", id, body);
+		Deployment.Answer answer = this.deployment.call("POST", prefix, id, body);
 		if (answer.status() / 100 != 2) {
 			throw new IllegalStateException("a job was not accepted: " + answer.status());
 		}
