--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 here="$(cd "$(dirname "$0")" && pwd)"
-exec "$here/../run-case-2.sh" Flapping "$here"
+exec "$here/../run-case-2.sh" LateSubmission "$here"
