A worker's life is begun by its own answer, not by a report

Cause: the target took any report with a later start for the next life of its worker, whoever sent it, and dropped everything earlier from then on. Its calls then named an instance that the worker answers with 421.

Change: a report of another life is kept aside and the worker is asked under the claimed name, without a lease and without an acknowledgement; only its answer begins a life. Which life is later is told by the order of calls, not by start times, so a worker whose clock was set back is used again.

--- a/core/src/main/java/org/almondmount/worker/WorkerCommand.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerCommand.java
@@ -73,6 +73,17 @@
 			IgnoredReason reason) implements WorkerCommand {
 	}
 
+	/**
+	 * Counts an announcement that is not used.
+	 *
+	 * @param announced the announced incarnation
+	 * @param incarnation the incarnation that the worker is known to be
+	 * @param reason the reason
+	 */
+	record RefuseAnnouncement(WorkerIncarnation announced, WorkerIncarnation incarnation,
+			AnnouncementRefusal reason) implements WorkerCommand {
+	}
+
 	/**
 	 * Counts a worker that ended without notice, with the runs that were active on it.
 	 *
--- a/core/src/main/java/org/almondmount/worker/WorkerEvent.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerEvent.java
@@ -14,7 +14,7 @@
 public sealed interface WorkerEvent {
 
 	/**
-	 * The worker announced itself.
+	 * A description of the worker was received, possibly from another sender.
 	 *
 	 * @param description the description in the announcement
 	 * @param announcementNumber counts the announcements of this incarnation of the
--- a/core/src/main/java/org/almondmount/worker/WorkerManager.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerManager.java
@@ -73,6 +73,8 @@
 
 	private long lastAnnouncement;
 
+	private final UnconfirmedAnnouncements unconfirmedAnnouncements;
+
 	private WorkerIncarnation incarnation = WorkerIncarnation.NONE;
 
 	private List<WorkerReport.Running> running = List.of();
@@ -102,6 +104,12 @@
 
 	private long outstandingPoll;
 
+	/**
+	 * The first poll that was sent after the last answer of the current incarnation.
+	 * Another incarnation that answers it is a later one.
+	 */
+	private long firstPollAfterAnswer;
+
 	private long nextPollAt = Long.MIN_VALUE;
 
 	private Map<Long, Long> pollEpochs = new HashMap<>();
@@ -135,6 +143,8 @@
 	public WorkerManager(String target, WorkerPolicy policy) {
 		this.target = target;
 		this.policy = policy;
+		this.unconfirmedAnnouncements = new UnconfirmedAnnouncements(DESCRIPTION_VALIDITY_MILLIS,
+				policy.pollRetryPauseMillis());
 	}
 
 	/**
@@ -179,7 +189,7 @@
 
 	private void dispatchWorkerEvent(long now, WorkerEvent event) {
 		if (event instanceof WorkerEvent.WorkerAnnounced announced) {
-			handleAnnouncement(now, announced.description(), announced.announcementNumber());
+			handleAnnouncement(now, announced);
 		}
 		else if (event instanceof WorkerEvent.PollAnswered answered) {
 			handlePollAnswer(now, answered);
@@ -315,28 +325,51 @@
 		this.pollRequested = true;
 	}
 
-	private void handleAnnouncement(long now, WorkerDescription announced, long announcementNumber) {
-		if (announced.incarnation().startedAtMillis() < this.incarnation.startedAtMillis()) {
+	// An announcement may come from anybody, or late from an earlier incarnation, so it
+	// only causes the worker to be asked. Only an answer of the worker begins an
+	// incarnation.
+	private void handleAnnouncement(long now, WorkerEvent.WorkerAnnounced announced) {
+		if (announced.description().incarnation().equals(this.incarnation)) {
+			describe(now, announced);
 			return;
 		}
-		beginIncarnation(now, announced.incarnation());
+		this.unconfirmedAnnouncements.add(now, announced)
+			.ifPresent((dropped) -> refuseAnnouncement(dropped, AnnouncementRefusal.TOO_MANY));
+	}
+
+	private void refuseAnnouncement(WorkerIncarnation announced, AnnouncementRefusal reason) {
+		this.commands.add(new WorkerCommand.RefuseAnnouncement(announced, this.incarnation, reason));
+	}
+
+	private void describe(long receivedAt, WorkerEvent.WorkerAnnounced event) {
+		WorkerDescription announced = event.description();
 		// Announcements can overtake each other: an older one may contain capacity that
 		// is gone, or a ready state of a worker that is now draining.
-		boolean overtaken = announcementNumber < this.lastAnnouncement;
+		boolean overtaken = event.announcementNumber() < this.lastAnnouncement;
 		if (overtaken || (isDraining() && !announced.draining())) {
 			return;
 		}
-		this.lastAnnouncement = announcementNumber;
+		this.lastAnnouncement = event.announcementNumber();
 		boolean unchanged = this.description
 			.map((known) -> known.draining() == announced.draining() && known.capacity().equals(announced.capacity()))
 			.orElse(false);
 		this.description = Optional.of(announced);
-		this.describedAtMillis = now;
+		this.describedAtMillis = receivedAt;
 		this.reportDue |= !unchanged;
 	}
 
+	private void describeIfAnnounced() {
+		this.unconfirmedAnnouncements.remove(this.incarnation)
+			.ifPresent((received) -> describe(received.receivedAt(), received.announced()));
+	}
+
 	private void handlePollFailed(long now, WorkerEvent.PollFailed failed) {
 		handlePollEnded(failed.pollNumber());
+		Optional<WorkerIncarnation> asked = this.unconfirmedAnnouncements.askedBy(failed.pollNumber());
+		asked.ifPresent((announced) -> handleUnconfirmed(now, announced, failed));
+		if (asked.isPresent() && !asked.get().worker().equals(this.incarnation.worker())) {
+			return;
+		}
 		if (failed.workerAbsent() && failed.pollNumber() >= this.firstPollAfterLeaving) {
 			this.absentSince = Math.min(this.absentSince, now);
 			this.absentMillis = now - this.absentSince;
@@ -348,6 +381,15 @@
 		this.lastPollFailed = true;
 	}
 
+	private void handleUnconfirmed(long now, WorkerIncarnation announced, WorkerEvent.PollFailed failed) {
+		if (failed.workerAbsent()) {
+			this.unconfirmedAnnouncements.remove(announced);
+			refuseAnnouncement(announced, AnnouncementRefusal.NOT_THIS_WORKER);
+			return;
+		}
+		this.unconfirmedAnnouncements.retryLater(now, announced);
+	}
+
 	private void resetAbsence() {
 		this.absentSince = Long.MAX_VALUE;
 		this.absentMillis = 0;
@@ -395,8 +437,9 @@
 			return;
 		}
 		recordCrash(now);
+		this.commands.add(WorkerCommand.LogDecision.of("worker-life", "life", next, "before", this.incarnation,
+				"acknowledgedEnd", this.acknowledgedEnd));
 		this.incarnation = next;
-		this.commands.add(WorkerCommand.LogDecision.of("worker-life", "life", next));
 		this.description = Optional.empty();
 		this.lastAnnouncement = 0;
 		this.running = List.of();
@@ -425,10 +468,14 @@
 	private void handlePollAnswer(long now, WorkerEvent.PollAnswered answer) {
 		Long pollEpoch = this.pollEpochs.get(answer.pollNumber());
 		handlePollEnded(answer.pollNumber());
-		if (answer.incarnation().startedAtMillis() < this.incarnation.startedAtMillis()) {
+		handleConfirmation(now, answer);
+		if (!isCurrentOrLater(answer)) {
+			this.pollRequested = true;
 			return;
 		}
 		beginIncarnation(now, answer.incarnation());
+		this.firstPollAfterAnswer = this.lastPollNumber + 1;
+		describeIfAnnounced();
 		// A lease is granted only for a worker that answers. After a restart the first
 		// heartbeat is sent before the first answer; without another heartbeat now, every
 		// order would be refused for lack of a lease until the next one is due.
@@ -453,6 +500,26 @@
 		confirmStops(answer);
 	}
 
+	private void handleConfirmation(long now, WorkerEvent.PollAnswered answer) {
+		Optional<WorkerIncarnation> asked = this.unconfirmedAnnouncements.askedBy(answer.pollNumber());
+		if (asked.isEmpty()) {
+			return;
+		}
+		if (asked.get().equals(answer.incarnation())) {
+			this.unconfirmedAnnouncements.retryLater(now, asked.get());
+			return;
+		}
+		this.unconfirmedAnnouncements.remove(asked.get());
+		refuseAnnouncement(asked.get(), AnnouncementRefusal.NOT_THIS_WORKER);
+	}
+
+	// The start times of two incarnations do not tell which one is later: the clock that
+	// they are read from may have been set back in between.
+	private boolean isCurrentOrLater(WorkerEvent.PollAnswered answer) {
+		return answer.incarnation().startedAtMillis() == this.incarnation.startedAtMillis()
+				|| answer.pollNumber() >= this.firstPollAfterAnswer;
+	}
+
 	private void recordTruncation(WorkerEvent.PollAnswered answer) {
 		if (answer.endsTruncated() != this.endsTruncated) {
 			this.endsTruncated = answer.endsTruncated();
@@ -553,6 +620,7 @@
 	private void issueCommands(long now) {
 		retryStops(now);
 		pollIfDue(now);
+		confirmAnnouncements(now);
 		if (!this.holderConnected) {
 			return;
 		}
@@ -623,6 +691,17 @@
 				(this.incarnation.startedAtMillis() != 0) ? leaseUntilOnWorkerClock(now) : 0, waitMillis));
 	}
 
+	private void confirmAnnouncements(long now) {
+		this.unconfirmedAnnouncements.removeExpired(now)
+			.forEach((announced) -> refuseAnnouncement(announced, AnnouncementRefusal.NOT_CONFIRMED));
+		for (WorkerIncarnation announced : this.unconfirmedAnnouncements.due(now)) {
+			long number = ++this.lastPollNumber;
+			this.unconfirmedAnnouncements.recordPoll(announced, number);
+			this.pollEpochs.put(number, this.epoch);
+			this.commands.add(new WorkerCommand.Poll(number, announced, this.epoch, 0, 0, 0));
+		}
+	}
+
 	private void handlePollEnded(long pollNumber) {
 		this.pollEpochs.remove(pollNumber);
 		if (pollNumber == this.outstandingPoll) {
--- a/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
+++ b/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
@@ -13,6 +13,7 @@
 import org.almondmount.model.InvalidValueException;
 import org.almondmount.rows.RowStore;
 import org.almondmount.telemetry.EventLog;
+import org.almondmount.telemetry.LimitedLog;
 import org.almondmount.telemetry.Telemetry;
 import org.almondmount.wire.CloseReason;
 import org.almondmount.wire.Message;
@@ -20,6 +21,7 @@
 import org.almondmount.wire.PeerInfo;
 import org.almondmount.wire.PeerListener;
 import org.almondmount.wire.WireEndpoint;
+import org.almondmount.worker.AnnouncementRefusal;
 import org.almondmount.worker.IgnoredReason;
 import org.almondmount.worker.WorkerCommand;
 import org.almondmount.worker.WorkerEvent;
@@ -38,6 +40,12 @@
 	/** Commands that were not executed, by reason. */
 	private static final String IGNORED_COMMANDS_METRIC = "orders.ignored";
 
+	/** Announcements that are not used, by reason. */
+	private static final String REFUSED_ANNOUNCEMENTS_METRIC = "announcements.refused";
+
+	/** Refused announcements that are logged in a second; the others are counted. */
+	private static final int LOGGED_ANNOUNCEMENTS_PER_SECOND = 1;
+
 	/** Workers that ended without notice while they ran tasks. */
 	private static final String CRASHED_WORKERS_METRIC = "workers.crashed";
 
@@ -73,6 +81,8 @@
 
 	private final HolderSearch holderSearch;
 
+	private final LimitedLog announcementLog = new LimitedLog(LOG, LOGGED_ANNOUNCEMENTS_PER_SECOND, System::nanoTime);
+
 	private int searchCount;
 
 	/**
@@ -93,6 +103,7 @@
 		this.wire = wire;
 		this.telemetry = telemetry;
 		telemetry.declare(IGNORED_COMMANDS_METRIC, IgnoredReason.class);
+		telemetry.declare(REFUSED_ANNOUNCEMENTS_METRIC, AnnouncementRefusal.class);
 		this.self = new PeerInfo(PeerInfo.Role.TARGET, settings.name(), "", settings.zone(), Optional.empty(), 0,
 				loop.wallMillis());
 		this.holderSearch = new HolderSearch(settings.name(), this::dial);
@@ -109,7 +120,8 @@
 	}
 
 	/**
-	 * Handles the description that the worker sent.
+	 * Handles a description of the worker. It is used once the worker has confirmed that
+	 * it is the described incarnation.
 	 * @param description the description
 	 * @param announcement sequence number of the announcement within this incarnation of
 	 * the worker
@@ -170,6 +182,11 @@
 			LOG.info("order-ignored", "order", ignored.orderKind(), "task", ignored.task(), "run", ignored.run(),
 					"epoch", ignored.epoch(), "why", ignored.reason());
 		}
+		else if (command instanceof WorkerCommand.RefuseAnnouncement refused) {
+			this.telemetry.count(REFUSED_ANNOUNCEMENTS_METRIC, refused.reason());
+			this.announcementLog.warn("announcement-refused", "life", refused.announced(), "known",
+					refused.incarnation(), "why", refused.reason());
+		}
 		else if (command instanceof WorkerCommand.CountCrash crash) {
 			recordCrash(crash);
 		}
