A cancelled job stays cancelled if its submission is stored later

Cause: a cancellation of a job without a row left nothing behind, while the write of the submission was still on its way to the store.

Change: such a cancellation is stored, on the condition that there is still no row, before it is answered. Holders apply it when the job appears. An entry stores 20 a second; the holder removes rows whose jobs have not come within the retention time.

The simulated callers count 410 as a confirmation from now on, which is stricter.

--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -125,13 +125,13 @@
 							.withEndedJobRetentionMillis(settings.endedJobRetention().toMillis())
 							.withCheckpointing(settings.checkpointing())
 							.withFeatures(settings.features())),
-				store, this.loop, telemetry, this.term, this.targets, settings.leaseDuration().toMillis());
+				store, this.loop, telemetry, this.term, this.targets, settings);
 		this.storeGossip = new StoreGossip(this.peers, this.storeTimeout, this.loop, this::probeStore);
 		EntryCalls calls = new EntryCalls(this.term, this.peers, this.loop);
 		this.intake = new JobIntake(store, this.loop, this.storeTimeout, telemetry, this.schedulerDriver, this.peers,
 				this.storeGossip, calls, (job) -> this.configuration.priority(job));
 		this.requestHandler = new JobRequestHandler(store, this.loop, this.storeTimeout, this.schedulerDriver, calls,
-				this.intake);
+				this.intake, telemetry);
 		this.probe = new StoreProbe(store, this.loop, this.storeTimeout, this.intake::hasWaitingJobs);
 		this.configurationWatcher = new ConfigurationWatcher(store, reader, this.loop, this::onConfigurationChanged,
 				this.probe::probe);
--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobRequestHandler.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobRequestHandler.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import org.almondmount.fleet.AdaptiveStoreTimeout;
 import org.almondmount.fleet.EventLoop;
@@ -19,7 +20,9 @@
 import org.almondmount.rows.RowStore.Place;
 import org.almondmount.rows.RowStore.Row;
 import org.almondmount.rows.RowStore.Write;
+import org.almondmount.services.util.RateLimiter;
 import org.almondmount.telemetry.EventLog;
+import org.almondmount.telemetry.Telemetry;
 import org.almondmount.wire.Message;
 import org.almondmount.workflow.JobPhase;
 import org.almondmount.workflow.JobRecord;
@@ -38,6 +41,15 @@
 	/** A cancellation waits for a commit of the holder. */
 	private static final long CANCEL_TIMEOUT_MILLIS = 1_500;
 
+	/**
+	 * Cancellations of unknown jobs that are stored in a second: more than a crowd of
+	 * callers gives up whose submissions are still on their way.
+	 */
+	private static final int MAX_UNKNOWN_CANCELS_PER_SECOND = 20;
+
+	/** Cancellations that were not kept, by reason. */
+	private static final String REFUSED_CANCELS_METRIC = "cancels.refused";
+
 	/** Maximum age of a cached count. */
 	private static final long MAX_COUNT_AGE_MILLIS = 800;
 
@@ -53,16 +65,24 @@
 
 	private final JobIntake intake;
 
+	private final Telemetry telemetry;
+
+	private final RateLimiter unknownCancels;
+
 	private final Map<String, Count> counts = new HashMap<>();
 
 	JobRequestHandler(RowStore store, EventLoop loop, AdaptiveStoreTimeout storeTimeout,
-			SchedulerDriver schedulerDriver, EntryCalls calls, JobIntake intake) {
+			SchedulerDriver schedulerDriver, EntryCalls calls, JobIntake intake, Telemetry telemetry) {
 		this.store = store;
 		this.loop = loop;
 		this.storeTimeout = storeTimeout;
 		this.schedulerDriver = schedulerDriver;
 		this.calls = calls;
 		this.intake = intake;
+		this.telemetry = telemetry;
+		this.unknownCancels = new RateLimiter(MAX_UNKNOWN_CANCELS_PER_SECOND,
+				() -> TimeUnit.MILLISECONDS.toNanos(loop.steadyMillis()));
+		telemetry.declare(REFUSED_CANCELS_METRIC, CancelRefusal.class);
 	}
 
 	CompletableFuture<JobAnswer> phase(String job, long timeoutMillis) {
@@ -215,7 +235,9 @@
 	}
 
 	// Without the holder, the cancellation itself is stored as a row beside the job. The
-	// next holder, or the current one when it reads the intake, finds it there.
+	// next holder, or the current one when it reads the intake, finds it there. A job
+	// without a row may still be on its way to the store, so its cancellation is stored
+	// as well.
 	private void onCancelEnded(String job, boolean persisted, long deadlineMillis,
 			CompletableFuture<JobAnswer> outcome) {
 		if (persisted) {
@@ -227,34 +249,48 @@
 		this.loop.onCompletion(this.store.read(intake.table(), intake.key(), 1, this.storeTimeout.timeout()),
 				(read) -> {
 					if (!(read instanceof RowStore.Read.Found found)) {
-						retryOrUnavailable(deadlineMillis, outcome,
-								() -> onCancelEnded(job, false, deadlineMillis, outcome));
+						retryCancel(deadlineMillis, outcome, () -> onCancelEnded(job, false, deadlineMillis, outcome));
 						return;
 					}
 					Optional<Row> row = findRow(found, intake);
-					if (row.isEmpty()) {
-						outcome.complete(new JobAnswer.NoSuchJob());
+					if (row.isEmpty() && !this.unknownCancels.tryAcquire()) {
+						refuseCancel(CancelRefusal.TOO_MANY_UNKNOWN, outcome);
 						return;
 					}
-					writeCancel(job, row.get(), deadlineMillis, outcome);
+					writeCancel(job, row.map(Row::version).orElse(0L), deadlineMillis, outcome);
 				});
 	}
 
-	private void writeCancel(String job, Row row, long deadlineMillis, CompletableFuture<JobAnswer> outcome) {
+	private void writeCancel(String job, long jobVersion, long deadlineMillis, CompletableFuture<JobAnswer> outcome) {
+		boolean unknown = jobVersion == 0;
 		this.loop.onCompletion(
-				this.store.commit(List.of(new Condition(row.place(), row.version())),
+				this.store.commit(List.of(new Condition(Tables.job(job), jobVersion)),
 						List.of(new Write(Tables.cancel(job), Optional.of("{}"))), this.storeTimeout.timeout()),
 				(commitOutcome) -> {
 					if (commitOutcome instanceof RowStore.Commit.Committed) {
-						LOG.info("cancel-kept", "job", job, "through", "store");
+						LOG.info("cancel-kept", "job", job, "through", "store", "unknown", unknown);
 						notifyOfCancel(job);
-						outcome.complete(new JobAnswer.Known(JobPhase.CANCELLED));
+						outcome.complete(unknown ? new JobAnswer.NoSuchJob() : new JobAnswer.Known(JobPhase.CANCELLED));
 						return;
 					}
-					retryOrUnavailable(deadlineMillis, outcome, () -> writeCancel(job, row, deadlineMillis, outcome));
+					boolean jobChanged = commitOutcome instanceof RowStore.Commit.Conflict;
+					retryCancel(deadlineMillis, outcome,
+							jobChanged ? () -> onCancelEnded(job, false, deadlineMillis, outcome)
+									: () -> writeCancel(job, jobVersion, deadlineMillis, outcome));
 				});
 	}
 
+	private void retryCancel(long deadlineMillis, CompletableFuture<JobAnswer> outcome, Runnable retry) {
+		if (!retryBefore(deadlineMillis, retry)) {
+			refuseCancel(CancelRefusal.STORE_SILENT, outcome);
+		}
+	}
+
+	private void refuseCancel(CancelRefusal reason, CompletableFuture<JobAnswer> outcome) {
+		this.telemetry.count(REFUSED_CANCELS_METRIC, reason);
+		outcome.complete(new JobAnswer.Unavailable());
+	}
+
 	private void notifyOfCancel(String job) {
 		if (this.schedulerDriver.mayDecide()) {
 			this.schedulerDriver.onCancelPersisted(job);
@@ -264,11 +300,17 @@
 	}
 
 	private void retryOrUnavailable(long deadlineMillis, CompletableFuture<JobAnswer> outcome, Runnable retry) {
-		if (this.loop.steadyMillis() + STORE_RETRY_DELAY_MILLIS >= deadlineMillis) {
+		if (!retryBefore(deadlineMillis, retry)) {
 			outcome.complete(new JobAnswer.Unavailable());
-			return;
+		}
+	}
+
+	private boolean retryBefore(long deadlineMillis, Runnable retry) {
+		if (this.loop.steadyMillis() + STORE_RETRY_DELAY_MILLIS >= deadlineMillis) {
+			return false;
 		}
 		this.loop.schedule(STORE_RETRY_DELAY_MILLIS, retry);
+		return true;
 	}
 
 	private static Optional<Row> findRow(RowStore.Read.Found found, Place place) {
--- a/fleet/src/main/java/org/almondmount/fleet/entry/SchedulerDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/SchedulerDriver.java
@@ -13,6 +13,7 @@
 import java.util.stream.Stream;
 
 import org.almondmount.fleet.EventLoop;
+import org.almondmount.fleet.FleetSettings;
 import org.almondmount.fleet.Tables;
 import org.almondmount.fleet.codec.RecordCodec;
 import org.almondmount.rows.RowStore;
@@ -115,18 +116,18 @@
 
 	private boolean intakeReadPending;
 
-	/** Jobs beside which a cancellation is stored. */
-	private final Set<String> jobsWithCancelRow = new HashSet<>();
+	private final StoredCancellations storedCancellations;
 
 	SchedulerDriver(WorkflowScheduler scheduler, RowStore store, EventLoop loop, Telemetry telemetry, TermDriver term,
-			TargetLinks targets, long leaseMillis) {
+			TargetLinks targets, FleetSettings settings) {
 		this.scheduler = scheduler;
 		this.store = store;
 		this.loop = loop;
 		this.telemetry = telemetry;
 		this.term = term;
 		this.targets = targets;
-		this.leaseMillis = leaseMillis;
+		this.leaseMillis = settings.leaseDuration().toMillis();
+		this.storedCancellations = new StoredCancellations(settings.endedJobRetention().toMillis());
 		telemetry.declare(WORK_METRIC, WorkOutcome.class);
 		telemetry.declare(FAILED_JOBS_METRIC, JobFailure.class);
 		telemetry.declare(DECISIONS_METRIC, LoadDecision.class);
@@ -136,6 +137,7 @@
 	void start() {
 		this.loop.scheduleRepeatedly(TICK_INTERVAL_MILLIS, () -> process(new WorkflowEvent.Tick()));
 		this.loop.scheduleRepeatedly(INTAKE_READ_INTERVAL_MILLIS, this::readIntakeChanges);
+		this.loop.scheduleRepeatedly(INTAKE_READ_INTERVAL_MILLIS, this::removeExpiredCancellations);
 	}
 
 	/**
@@ -191,12 +193,12 @@
 	}
 
 	/**
-	 * Handles a cancellation that is stored beside its job, whether or not the job is
-	 * known here yet.
+	 * Handles a cancellation that is stored as a row of its own, whether or not the job
+	 * is known here yet.
 	 * @param job the job
 	 */
 	void onCancelPersisted(String job) {
-		this.jobsWithCancelRow.add(job);
+		this.storedCancellations.add(this.loop.steadyMillis(), job);
 		cancelIfRequested(job);
 	}
 
@@ -338,12 +340,12 @@
 		List<Write> rows = new ArrayList<>();
 		for (String job : jobs) {
 			rows.add(new Write(Tables.job(job), Optional.empty()));
-			if (this.jobsWithCancelRow.contains(job)) {
+			if (this.storedCancellations.contains(job)) {
 				rows.add(new Write(Tables.cancel(job), Optional.empty()));
 			}
 		}
 		deleteRows(rows, () -> deleteProgress(jobs, () -> {
-			this.jobsWithCancelRow.removeAll(jobs);
+			this.storedCancellations.removeAll(jobs);
 			process(new WorkflowEvent.JobsDeleted(jobs));
 		}));
 	}
@@ -407,8 +409,7 @@
 				.add(new StoredJob(job, Optional.ofNullable(records.get(job.id())), cancelled.contains(job.id())));
 		}
 		LOG.info("term-loaded", "epoch", epoch, "jobs", storedJobs.size(), "cancelled", cancelled.size());
-		this.jobsWithCancelRow.clear();
-		this.jobsWithCancelRow.addAll(cancelled);
+		this.storedCancellations.replaceAll(this.loop.steadyMillis(), cancelled);
 		removeOrphans(epoch, intake, progress.stream().filter((row) -> records.containsKey(row.place().key())));
 		this.loaded = true;
 		process(new WorkflowEvent.TermBegan(epoch, storedJobs));
@@ -504,9 +505,25 @@
 	// its caller was told that it is cancelled.
 	private void cancelIfRequested(String job) {
 		boolean active = this.scheduler.phase(job).map((phase) -> !phase.isTerminal()).orElse(false);
-		if (active && this.jobsWithCancelRow.contains(job)) {
+		if (active && this.storedCancellations.contains(job)) {
 			process(new WorkflowEvent.CancelRequested(job));
 		}
 	}
 
+	// One row a transaction, so that a row that has to remain does not keep others. The
+	// condition ensures that its job does not appear at the same time; the cancellation
+	// would be lost.
+	private void removeExpiredCancellations() {
+		if (!mayDecide()) {
+			return;
+		}
+		this.storedCancellations.nextExpired(this.loop.steadyMillis(), (job) -> phase(job).isPresent())
+			.ifPresent((job) -> deleteRows(List.of(new Condition(Tables.job(job), 0)),
+					List.of(new Write(Tables.cancel(job), Optional.empty())), () -> {
+						LOG.info("cancel-forgotten", "job", job);
+						this.storedCancellations.removeAll(List.of(job));
+						removeExpiredCancellations();
+					}));
+	}
+
 }
--- a/fleet/src/test/java/org/almondmount/fleet/sim/FleetSimulation.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/FleetSimulation.java
@@ -256,13 +256,14 @@
 	}
 
 	/**
-	 * Records the cancellation of a job when its answer arrives.
+	 * Records the cancellation of a job when its answer arrives. The answer that there is
+	 * no such job is one as well: a submission on its way must not run from then on.
 	 * @param job the job
 	 * @param cancel the future answer
 	 */
 	void recordCancellationOnAnswer(String job, CompletableFuture<JobAnswer> cancel) {
 		cancel.thenAccept((answer) -> {
-			if (answer instanceof JobAnswer.Known) {
+			if (!(answer instanceof JobAnswer.Unavailable)) {
 				this.checker.recordCancellation(job);
 			}
 		});
--- a/fleet/src/test/java/org/almondmount/fleet/sim/SimStore.java
+++ b/fleet/src/test/java/org/almondmount/fleet/sim/SimStore.java
@@ -46,6 +46,9 @@
 
 	private boolean unavailable;
 
+	/** Time after which commits are executed without an answer, or 0. */
+	private long unansweredCommitDelayMillis;
+
 	private long answerLatencyMillis = ANSWER_LATENCY_MILLIS;
 
 	/**
@@ -65,6 +68,14 @@
 		this.lostShare = share;
 	}
 
+	/**
+	 * Executes the commits from now on late and without an answer.
+	 * @param millis the time until a commit is executed, 0 to answer commits again
+	 */
+	void delayCommitsWithoutAnswer(long millis) {
+		this.unansweredCommitDelayMillis = millis;
+	}
+
 	/**
 	 * Slows down the answers.
 	 * @param factor the factor by which answers take longer than usual
@@ -176,6 +187,13 @@
 						() -> answer.complete(new Commit.Refused("store is unavailable")));
 				return answer;
 			}
+			if (SimStore.this.unansweredCommitDelayMillis > 0) {
+				SimStore.this.clock.scheduleAfter(SimStore.this.unansweredCommitDelayMillis,
+						() -> apply(conditions, writes));
+				SimStore.this.clock.scheduleAfter(timeout.toMillis(),
+						() -> answer.complete(new Commit.Unanswered("answer is lost")));
+				return answer;
+			}
 			boolean answerLost = SimStore.this.random.nextDouble() < SimStore.this.lostShare;
 			if (answerLost) {
 				long delayMillis = SimStore.this.random.nextBoolean() ? ANSWER_LATENCY_MILLIS
