Calls for one life of a worker never reach the next one

Cause: a poll, a start or a stop says only the worker's name. On a new connection it reached the worker's next life, with the cursor of the former one, so that the first ends were forgotten unread, and with a deadline on the former life's clock.

Change: such a call goes only over a connection that has proved to lead to the life it is meant for (HttpClient.sendToInstance); a poll that meets another life returns that life's lists. An acknowledgement is sent until it is answered, not with each poll.

--- a/core/src/main/java/org/almondmount/worker/WorkerManager.java
+++ b/core/src/main/java/org/almondmount/worker/WorkerManager.java
@@ -100,6 +100,12 @@
 
 	private long acknowledgedEnd;
 
+	/** The last end that the worker has forgotten: it answered the acknowledgement. */
+	private long forgottenEnd;
+
+	/** The ends that outstanding polls acknowledge. */
+	private final Map<Long, Long> pollAcknowledgements = new HashMap<>();
+
 	private long lastPollNumber;
 
 	private long outstandingPoll;
@@ -447,6 +453,8 @@
 		this.endsTruncated = false;
 		this.orders.clear();
 		this.acknowledgedEnd = 0;
+		this.forgottenEnd = 0;
+		this.pollAcknowledgements.clear();
 		this.leavingNoticeAt = Long.MIN_VALUE;
 		resetAbsence();
 		this.obeyedEpoch = 0;
@@ -467,12 +475,17 @@
 
 	private void handlePollAnswer(long now, WorkerEvent.PollAnswered answer) {
 		Long pollEpoch = this.pollEpochs.get(answer.pollNumber());
+		Long pollAcknowledgement = this.pollAcknowledgements.get(answer.pollNumber());
 		handlePollEnded(answer.pollNumber());
 		handleConfirmation(now, answer);
 		if (!isCurrentOrLater(answer)) {
 			this.pollRequested = true;
 			return;
 		}
+		if (pollAcknowledgement != null
+				&& answer.incarnation().startedAtMillis() == this.incarnation.startedAtMillis()) {
+			this.forgottenEnd = Math.max(this.forgottenEnd, pollAcknowledgement);
+		}
 		beginIncarnation(now, answer.incarnation());
 		this.firstPollAfterAnswer = this.lastPollNumber + 1;
 		describeIfAnnounced();
@@ -666,6 +679,8 @@
 		}
 	}
 
+	// An acknowledgement is sent only until the worker has answered it: a call that is
+	// executed late, in the next incarnation, would make that one forget its first ends.
 	// One long poll waits for an end on a busy worker; another poll is sent in parallel
 	// when something has to be known or acknowledged at once. A worker without runs
 	// answers at once, so it is polled only at intervals, and again as soon as it starts
@@ -687,7 +702,9 @@
 			this.nextPollAt = now + (busy ? 0 : this.policy.pollWaitMillis());
 		}
 		this.pollEpochs.put(number, this.epoch);
-		this.commands.add(new WorkerCommand.Poll(number, this.incarnation, this.epoch, this.acknowledgedEnd,
+		long acknowledgement = (this.acknowledgedEnd > this.forgottenEnd) ? this.acknowledgedEnd : 0;
+		this.pollAcknowledgements.put(number, acknowledgement);
+		this.commands.add(new WorkerCommand.Poll(number, this.incarnation, this.epoch, acknowledgement,
 				(this.incarnation.startedAtMillis() != 0) ? leaseUntilOnWorkerClock(now) : 0, waitMillis));
 	}
 
@@ -704,6 +721,7 @@
 
 	private void handlePollEnded(long pollNumber) {
 		this.pollEpochs.remove(pollNumber);
+		this.pollAcknowledgements.remove(pollNumber);
 		if (pollNumber == this.outstandingPoll) {
 			this.outstandingPoll = 0;
 		}
--- a/core/src/test/java/org/almondmount/worker/WorkerManagerTests.java
+++ b/core/src/test/java/org/almondmount/worker/WorkerManagerTests.java
@@ -478,6 +478,40 @@
 					AnnouncementRefusal.TOO_MANY));
 	}
 
+	// Guards against ends that the next incarnation forgets before anyone has read them:
+	// an
+	// acknowledgement of the previous one is executed late.
+	@Test
+	void anAcknowledgementIsSentUntilTheWorkerHasAnsweredIt() {
+		startRun();
+		feed(new WorkerEvent.EndsRecorded(1, INCARNATION, 3));
+		assertThat(lastPoll().acknowledgedEnd()).isEqualTo(3);
+		feed(new WorkerEvent.PollFailed(lastPoll().pollNumber(), "no answer", false));
+		this.now += WorkerPolicy.DEFAULT.pollRetryPauseMillis();
+		feed(new WorkerEvent.EndsRecorded(1, INCARNATION, 4));
+		assertThat(lastPoll().acknowledgedEnd()).isEqualTo(4);
+		feed(new WorkerEvent.PollAnswered(lastPoll().pollNumber(), INCARNATION, 950, List.of(), List.of()));
+		feed(new WorkerEvent.PollAnswered(longPoll().pollNumber(), INCARNATION, 950, List.of(), List.of()));
+		this.now += WorkerPolicy.DEFAULT.pollWaitMillis();
+		feed(new WorkerEvent.Tick());
+		assertThat(lastPoll().acknowledgedEnd()).isZero();
+	}
+
+	// Guards against an acknowledgement of the previous incarnation that the next one
+	// gets, or that counts as answered by it.
+	@Test
+	void theNextIncarnationGetsItsOwnAcknowledgementsOnly() {
+		startRun();
+		feed(new WorkerEvent.EndsRecorded(1, INCARNATION, 3));
+		long unanswered = lastPoll().pollNumber();
+		WorkerIncarnation next = new WorkerIncarnation("w", 4_000);
+		feed(new WorkerEvent.PollAnswered(unanswered, next, 10, List.of(), List.of()));
+		assertThat(lastPoll().acknowledgedEnd()).isZero();
+		assertThat(lastPoll().incarnation()).isEqualTo(next);
+		feed(new WorkerEvent.EndsRecorded(1, next, 2));
+		assertThat(lastPoll().acknowledgedEnd()).isEqualTo(2);
+	}
+
 	private void restartWorker() {
 		WorkerIncarnation next = new WorkerIncarnation("w", 4_000);
 		feed(new WorkerEvent.WorkerAnnounced(description(next, false), ++this.announcementCount));
--- a/fleet/src/main/java/org/almondmount/fleet/WorkerCalls.java
+++ b/fleet/src/main/java/org/almondmount/fleet/WorkerCalls.java
@@ -7,7 +7,8 @@
 
 /**
  * Calls to the worker beside a target. Thread-safe. Futures never complete exceptionally:
- * every outcome is an event. No call is retried.
+ * every outcome is an event. No call is retried. What is meant for one incarnation never
+ * reaches another one, even if both have the same name.
  */
 public interface WorkerCalls {
 
--- /dev/null
+++ b/runtime/src/main/java/org/almondmount/http/InstanceCheck.java
@@ -0,0 +1,17 @@
+package org.almondmount.http;
+
+import java.util.Optional;
+import java.util.function.Function;
+
+/**
+ * Tells whether a connection leads to the instance of a server that a call is meant for.
+ * A server that is restarted at the same address is another instance. Its connections end
+ * with it, so a connection that has once led to an instance never leads to another one.
+ *
+ * @param instance the expected instance
+ * @param query a call without effect, sent first on each connection
+ * @param reader returns the instance that gave an answer to the query, or empty if the
+ * answer does not tell
+ */
+public record InstanceCheck(String instance, HttpCall query, Function<HttpAnswer, Optional<String>> reader) {
+}
--- a/runtime/src/main/java/org/almondmount/http/impl/ClientCall.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/ClientCall.java
@@ -1,5 +1,6 @@
 package org.almondmount.http.impl;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
 
@@ -7,6 +8,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import org.almondmount.http.HttpAnswer;
 import org.almondmount.http.HttpFailure;
+import org.almondmount.http.OtherInstanceFailure;
 
 /**
  * A call of the client. Confined to the client's event-loop thread.
@@ -17,15 +19,21 @@
 
 	private final FullHttpRequest request;
 
+	private final Optional<PendingCheck> check;
+
 	private final CompletableFuture<HttpAnswer> answer;
 
 	private ScheduledFuture<?> timer;
 
 	private Channel channel;
 
-	ClientCall(String server, FullHttpRequest request, CompletableFuture<HttpAnswer> answer) {
+	private boolean sent;
+
+	ClientCall(String server, FullHttpRequest request, Optional<PendingCheck> check,
+			CompletableFuture<HttpAnswer> answer) {
 		this.server = server;
 		this.request = request;
+		this.check = check;
 		this.answer = answer;
 	}
 
@@ -42,14 +50,29 @@
 		return this.answer;
 	}
 
+	/**
+	 * Returns the check of the connection that carries the call.
+	 * @return the check, or empty if any connection will do
+	 */
+	Optional<PendingCheck> check() {
+		return this.check;
+	}
+
+	/**
+	 * Assigns the call to a connection, which it occupies from now on.
+	 * @param carrier the connection
+	 */
+	void assignTo(Channel carrier) {
+		this.channel = carrier;
+	}
+
 	/**
 	 * Marks the call as sent and returns the request. From now on the server may have
 	 * received the call.
-	 * @param carrier the connection on which the call is sent
 	 * @return the request
 	 */
-	FullHttpRequest markSent(Channel carrier) {
-		this.channel = carrier;
+	FullHttpRequest markSent() {
+		this.sent = true;
 		return this.request;
 	}
 
@@ -58,13 +81,17 @@
 	}
 
 	void fail(String reason) {
-		this.answer.completeExceptionally(new HttpFailure(this.server, reason, this.channel != null));
+		this.answer.completeExceptionally(new HttpFailure(this.server, reason, this.sent));
 	}
 
 	void failRefused(String reason) {
 		this.answer.completeExceptionally(HttpFailure.ofRefusedConnection(this.server, reason));
 	}
 
+	void failOtherInstance(HttpAnswer given) {
+		this.answer.completeExceptionally(new OtherInstanceFailure(this.server, given));
+	}
+
 	/**
 	 * Abandons the call. Its late answer may still arrive on the connection, so the
 	 * connection is closed and never reused.
--- a/runtime/src/main/java/org/almondmount/http/impl/ClientConnection.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/ClientConnection.java
@@ -1,8 +1,11 @@
 package org.almondmount.http.impl;
 
+import java.util.Optional;
+
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import org.almondmount.http.HttpAnswer;
@@ -19,6 +22,12 @@
 
 	private ClientCall current;
 
+	/** The instance of the server that this connection leads to, empty if unknown. */
+	private String instance = "";
+
+	/** Whether the query of the current call's check is outstanding. */
+	private boolean checking;
+
 	private int useCount;
 
 	ClientConnection(ConnectionPool pool) {
@@ -32,7 +41,14 @@
 	void send(ClientCall call) {
 		this.useCount++;
 		this.current = call;
-		this.context.writeAndFlush(call.markSent(this.context.channel())).addListener((written) -> {
+		call.assignTo(this.context.channel());
+		Optional<PendingCheck> check = call.check().filter((wanted) -> !wanted.instance().equals(this.instance));
+		this.checking = check.isPresent();
+		write(check.map(PendingCheck::query).orElseGet(call::markSent));
+	}
+
+	private void write(FullHttpRequest request) {
+		this.context.writeAndFlush(request).addListener((written) -> {
 			if (!written.isSuccess()) {
 				this.context.close();
 			}
@@ -77,18 +93,44 @@
 			ctx.close();
 			return;
 		}
+		HttpAnswer answer = new HttpAnswer(response.status().code(), HeaderMapping.toMap(response.headers()),
+				ByteBufUtil.getBytes(response.content()));
+		boolean keepAlive = HttpUtil.isKeepAlive(response);
+		if (this.checking && isExpectedInstance(answer) && keepAlive && !this.current.isDone()) {
+			this.checking = false;
+			write(this.current.markSent());
+			return;
+		}
 		ClientCall call = this.current;
 		this.current = null;
 		boolean abandoned = call.isDone();
-		call.succeed(new HttpAnswer(response.status().code(), HeaderMapping.toMap(response.headers()),
-				ByteBufUtil.getBytes(response.content())));
-		if (abandoned || !HttpUtil.isKeepAlive(response)) {
+		complete(call, answer);
+		if (abandoned || !keepAlive) {
 			ctx.close();
 			return;
 		}
 		this.pool.release(ctx.channel());
 	}
 
+	private boolean isExpectedInstance(HttpAnswer answer) {
+		PendingCheck check = this.current.check().orElseThrow();
+		this.instance = check.readInstance(answer);
+		return check.instance().equals(this.instance);
+	}
+
+	private void complete(ClientCall call, HttpAnswer answer) {
+		if (!this.checking) {
+			call.succeed(answer);
+			return;
+		}
+		this.checking = false;
+		if (call.check().orElseThrow().instance().equals(this.instance)) {
+			call.fail("the server closed the connection after the check");
+			return;
+		}
+		call.failOtherInstance(answer);
+	}
+
 	private void failCurrent(String reason) {
 		if (this.current != null) {
 			this.current.fail(reason);
--- a/runtime/src/main/java/org/almondmount/http/impl/NettyHttpClient.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/NettyHttpClient.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 
@@ -19,6 +20,7 @@
 import org.almondmount.http.HttpCall;
 import org.almondmount.http.HttpClient;
 import org.almondmount.http.HttpFailure;
+import org.almondmount.http.InstanceCheck;
 import org.almondmount.net.IoThreads;
 
 /**
@@ -56,22 +58,34 @@
 	 */
 	@Override
 	public CompletableFuture<HttpAnswer> send(InetSocketAddress server, HttpCall call, Duration timeout) {
+		return send(server, Optional.empty(), call, timeout);
+	}
+
+	@Override
+	public CompletableFuture<HttpAnswer> sendToInstance(InetSocketAddress server, InstanceCheck check, HttpCall call,
+			Duration timeout) {
+		return send(server, Optional.of(check), call, timeout);
+	}
+
+	private CompletableFuture<HttpAnswer> send(InetSocketAddress server, Optional<InstanceCheck> check, HttpCall call,
+			Duration timeout) {
 		String hostAndPort = NetUtil.toSocketAddressString(server);
 		CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
 		if (this.closed) {
 			answer.completeExceptionally(new HttpFailure(hostAndPort, "the client is closed", false));
 			return answer;
 		}
-		FullHttpRequest request;
+		ClientCall pending;
 		try {
-			request = toNettyRequest(hostAndPort, call);
+			pending = new ClientCall(hostAndPort, toNettyRequest(hostAndPort, call),
+					check.map((wanted) -> new PendingCheck(wanted, toNettyRequest(hostAndPort, wanted.query()))),
+					answer);
 		}
 		catch (IllegalArgumentException ex) {
 			answer.completeExceptionally(
 					new HttpFailure(hostAndPort, "the call is not valid HTTP: " + ex.getMessage(), false));
 			return answer;
 		}
-		ClientCall pending = new ClientCall(hostAndPort, request, answer);
 		try {
 			this.loop.execute(() -> pool(server).submit(pending, timeout));
 		}
--- a/runtime/src/test/java/org/almondmount/http/impl/NettyHttpClientTests.java
+++ b/runtime/src/test/java/org/almondmount/http/impl/NettyHttpClientTests.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -20,6 +21,8 @@
 import org.almondmount.http.HttpAnswer;
 import org.almondmount.http.HttpCall;
 import org.almondmount.http.HttpFailure;
+import org.almondmount.http.InstanceCheck;
+import org.almondmount.http.OtherInstanceFailure;
 import org.almondmount.net.IoThreads;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
@@ -211,6 +214,56 @@
 		}
 	}
 
+	@Test
+	void aConnectionIsCheckedOnceForAnInstance() throws Exception {
+		CompletableFuture<HttpAnswer> first = sendToInstance("a", "/1", LONG_TIMEOUT);
+		Socket connection = this.accepted.take();
+		assertThat(reply(connection, instance("a"))).startsWith("GET /check");
+		assertThat(reply(connection, OK)).startsWith("GET /1");
+		assertThat(first.get().status()).isEqualTo(200);
+		CompletableFuture<HttpAnswer> second = sendToInstance("a", "/2", LONG_TIMEOUT);
+		assertThat(reply(connection, OK)).startsWith("GET /2");
+		assertThat(second.get().status()).isEqualTo(200);
+	}
+
+	// Guards against a call that reaches another instance than it is meant for.
+	@Test
+	void aCallIsNotSentToAnotherInstance() throws Exception {
+		CompletableFuture<HttpAnswer> meant = sendToInstance("a", "/1", LONG_TIMEOUT);
+		Socket connection = this.accepted.take();
+		reply(connection, instance("b"));
+		HttpFailure failure = failure(meant);
+		assertThat(failure.mayHaveArrived()).isFalse();
+		assertThat(failure).isInstanceOfSatisfying(OtherInstanceFailure.class,
+				(other) -> assertThat(other.answer().body()).isEqualTo("b".getBytes(StandardCharsets.UTF_8)));
+		CompletableFuture<HttpAnswer> next = sendToInstance("b", "/2", LONG_TIMEOUT);
+		assertThat(reply(connection, OK)).startsWith("GET /2");
+		assertThat(next.get().status()).isEqualTo(200);
+	}
+
+	// Guards against a check without an answer that occupies a connection for good.
+	@Test
+	void anUnansweredCheckEndsTheConnectionAndTheCallIsNotSent() throws Exception {
+		CompletableFuture<HttpAnswer> unchecked = sendToInstance("a", "/1", Duration.ofMillis(100));
+		this.accepted.take();
+		assertThat(failure(unchecked).mayHaveArrived()).isFalse();
+		CompletableFuture<HttpAnswer> next = sendToInstance("a", "/2", LONG_TIMEOUT);
+		Socket connection = this.accepted.take();
+		reply(connection, instance("a"));
+		reply(connection, OK);
+		assertThat(next.get().status()).isEqualTo(200);
+	}
+
+	private CompletableFuture<HttpAnswer> sendToInstance(String instance, String path, Duration timeout) {
+		InstanceCheck check = new InstanceCheck(instance, new HttpCall("GET", "/check", Map.of(), new byte[0]),
+				(answer) -> Optional.of(new String(answer.body(), StandardCharsets.UTF_8)));
+		return this.client.sendToInstance(address(), check, new HttpCall("GET", path, Map.of(), new byte[0]), timeout);
+	}
+
+	private static String instance(String name) {
+		return "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n" + name;
+	}
+
 	private void acceptAll() {
 		while (!this.server.isClosed()) {
 			try {
@@ -245,7 +298,7 @@
 		}
 	}
 
-	private static void reply(Socket socket, String answer) throws IOException {
+	private static String reply(Socket socket, String answer) throws IOException {
 		StringBuilder call = new StringBuilder();
 		while (call.indexOf("\r\n\r\n") < 0) {
 			int next = socket.getInputStream().read();
@@ -256,6 +309,7 @@
 		}
 		socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
 		socket.getOutputStream().flush();
+		return call.toString();
 	}
 
 	private static HttpFailure failure(CompletableFuture<HttpAnswer> answer) {
