One odd row costs itself, not the list that it stands in

Another operator's processes ended, or stopped following a list, because of one odd entry. Here a value that is not base64, or compressed data that end early, made a whole answer of the store unreadable, so that jobs did not run after a restart; 40 KB that unpack to 40 MB ended processes.

Cause: values were decoded without a bound, and one failure failed all. A row that can't be read also passed as absent: completed tasks of a job with unreadable progress ran again, and an unreadable term began anew with the first epoch.

Odd addresses are skipped, and names are no longer looked up.

--- a/fleet/src/main/java/org/almondmount/fleet/Addresses.java
+++ b/fleet/src/main/java/org/almondmount/fleet/Addresses.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 
+import io.netty.util.NetUtil;
 import org.almondmount.model.InvalidValueException;
 
 /**
@@ -9,6 +10,9 @@
  */
 public final class Addresses {
 
+	/** Longer than any address. */
+	private static final int MAX_SHOWN_CHARS = 64;
+
 	private Addresses() {
 	}
 
@@ -20,12 +24,23 @@
 	 */
 	public static InetSocketAddress parse(String text) {
 		int colon = text.lastIndexOf(':');
+		String ip = text.substring(0, Math.max(0, colon));
+		boolean isLiteral = NetUtil.isValidIpV4Address(ip) || NetUtil.isValidIpV6Address(ip);
 		try {
-			return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+			int port = Integer.parseInt(text.substring(colon + 1));
+			if (isLiteral && port > 0) {
+				return new InetSocketAddress(ip, port);
+			}
 		}
-		catch (IllegalArgumentException | IndexOutOfBoundsException ex) {
-			throw new InvalidValueException("address", "is '" + text + "'; give ip:port");
+		catch (IllegalArgumentException ex) {
+			throw invalid(text);
 		}
+		throw invalid(text);
+	}
+
+	private static InvalidValueException invalid(String text) {
+		String shown = text.substring(0, Math.min(text.length(), MAX_SHOWN_CHARS));
+		return new InvalidValueException("address", "is '" + shown + "'; give ip:port");
 	}
 
 }
--- a/fleet/src/main/java/org/almondmount/fleet/entry/EntryRegistration.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/EntryRegistration.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.almondmount.fleet.AdaptiveStoreTimeout;
+import org.almondmount.fleet.EntryAddresses;
 import org.almondmount.fleet.EventLoop;
 import org.almondmount.fleet.FleetSettings;
 import org.almondmount.fleet.Tables;
@@ -36,8 +37,11 @@
 
 	private final PeerLinks peers;
 
+	private final EntryAddresses addresses;
+
 	EntryRegistration(FleetSettings settings, RowStore store, EventLoop loop, AdaptiveStoreTimeout storeTimeout,
-			PeerLinks peers) {
+			PeerLinks peers, EntryAddresses addresses) {
+		this.addresses = addresses;
 		this.settings = settings;
 		this.store = store;
 		this.loop = loop;
@@ -72,7 +76,7 @@
 		this.loop.onCompletion(this.store.read(Tables.ENTRIES, "", MAX_ENTRIES, this.storeTimeout.timeout()),
 				(read) -> {
 					if (read instanceof RowStore.Read.Found found) {
-						found.rows().forEach((row) -> row.value().ifPresent(this.peers::addAddress));
+						this.addresses.read(found.rows()).forEach(this.peers::addAddress);
 					}
 				});
 	}
--- a/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/FleetEntry.java
@@ -12,6 +12,7 @@
 import org.almondmount.fleet.AdaptiveStoreTimeout;
 import org.almondmount.fleet.Addresses;
 import org.almondmount.fleet.DeclarationReader;
+import org.almondmount.fleet.EntryAddresses;
 import org.almondmount.fleet.EventLoop;
 import org.almondmount.fleet.FleetSettings;
 import org.almondmount.fleet.JobAnswer;
@@ -136,7 +137,8 @@
 		this.configurationWatcher = new ConfigurationWatcher(store, reader, this.loop, this::onConfigurationChanged,
 				this.probe::probe);
 		this.configurationGossip = new ConfigurationGossip(this.configurationWatcher, this.loop);
-		this.registration = new EntryRegistration(settings, store, this.loop, this.storeTimeout, this.peers);
+		this.registration = new EntryRegistration(settings, store, this.loop, this.storeTimeout, this.peers,
+				new EntryAddresses(LOG, telemetry));
 		this.probe.addListener(this.term::onStoreAnswering);
 		this.probe.addListener(this.intake::onStoreAnswering);
 		this.probe.addListener(this.storeGossip::onStoreAnswering);
@@ -331,6 +333,7 @@
 		}
 		catch (InvalidValueException ex) {
 			LOG.warn("entry-row-unreadable", "why", ex.getMessage());
+			this.peers.dialFailed(address);
 		}
 	}
 
--- a/fleet/src/main/java/org/almondmount/fleet/entry/JobRequestHandler.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/JobRequestHandler.java
@@ -212,15 +212,19 @@
 					}
 					Optional<Row> row = findRow(found, progress);
 					if (row.isPresent()) {
-						JobRecord progressRecord = RecordCodec.readProgress(row.get().value().orElseThrow());
-						outcome.complete(new JobAnswer.Known(progressRecord.phase(),
-								progressRecord.failureMessage().orElse("")));
+						outcome.complete(RowDecoder.decode(LOG, row.get(), RecordCodec::readProgress)
+							.map(JobRequestHandler::toAnswer)
+							.orElseGet(JobAnswer.Unavailable::new));
 						return;
 					}
 					readIntake(job, deadlineMillis, outcome);
 				});
 	}
 
+	private static JobAnswer toAnswer(JobRecord progress) {
+		return new JobAnswer.Known(progress.phase(), progress.failureMessage().orElse(""));
+	}
+
 	private void readIntake(String job, long deadlineMillis, CompletableFuture<JobAnswer> outcome) {
 		Place intake = Tables.job(job);
 		this.loop.onCompletion(this.store.read(intake.table(), intake.key(), 1, this.storeTimeout.timeout()),
--- a/fleet/src/main/java/org/almondmount/fleet/entry/RowDecoder.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/RowDecoder.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import java.util.function.Function;
 
-import org.almondmount.model.InvalidValueException;
 import org.almondmount.rows.RowStore.Row;
 import org.almondmount.telemetry.EventLog;
 
@@ -28,7 +27,7 @@
 		try {
 			return row.value().map(reader);
 		}
-		catch (IllegalArgumentException | InvalidValueException ex) {
+		catch (RuntimeException ex) {
 			log.warn("row-unreadable", "table", row.place().table(), "key", row.place().key(), "why", ex.getMessage());
 			return Optional.empty();
 		}
--- a/fleet/src/main/java/org/almondmount/fleet/entry/SchedulerDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/SchedulerDriver.java
@@ -118,6 +118,12 @@
 
 	private final StoredCancellations storedCancellations;
 
+	/**
+	 * Jobs whose progress can't be read. They are not placed, because completed tasks
+	 * would run again.
+	 */
+	private final Set<String> withheldJobs = new HashSet<>();
+
 	SchedulerDriver(WorkflowScheduler scheduler, RowStore store, EventLoop loop, Telemetry telemetry, TermDriver term,
 			TargetLinks targets, FleetSettings settings) {
 		this.scheduler = scheduler;
@@ -186,7 +192,7 @@
 	}
 
 	void onJobAccepted(Workflow job) {
-		if (this.loaded) {
+		if (this.loaded && !this.withheldJobs.contains(job.id())) {
 			process(new WorkflowEvent.JobAccepted(job));
 			cancelIfRequested(job.id());
 		}
@@ -389,9 +395,11 @@
 
 	private void finishLoading(long epoch, List<Row> intake, List<Row> progress) {
 		Map<String, JobRecord> records = new HashMap<>();
+		this.withheldJobs.clear();
 		for (Row row : progress) {
 			RowDecoder.decode(LOG, row, RecordCodec::readProgress)
-				.ifPresent((record) -> records.put(record.job(), record));
+				.ifPresentOrElse((record) -> records.put(record.job(), record),
+						() -> this.withheldJobs.add(row.place().key()));
 		}
 		Set<String> cancelled = new HashSet<>();
 		Map<String, Workflow> jobs = new LinkedHashMap<>();
@@ -404,11 +412,13 @@
 			}
 		}
 		List<StoredJob> storedJobs = new ArrayList<>();
+		jobs.keySet().removeAll(this.withheldJobs);
 		for (Workflow job : jobs.values()) {
 			storedJobs
 				.add(new StoredJob(job, Optional.ofNullable(records.get(job.id())), cancelled.contains(job.id())));
 		}
-		LOG.info("term-loaded", "epoch", epoch, "jobs", storedJobs.size(), "cancelled", cancelled.size());
+		LOG.info("term-loaded", "epoch", epoch, "jobs", storedJobs.size(), "cancelled", cancelled.size(), "withheld",
+				this.withheldJobs.size());
 		this.storedCancellations.replaceAll(this.loop.steadyMillis(), cancelled);
 		removeOrphans(epoch, intake, progress.stream().filter((row) -> records.containsKey(row.place().key())));
 		this.loaded = true;
--- a/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
+++ b/fleet/src/main/java/org/almondmount/fleet/entry/TermDriver.java
@@ -206,7 +206,13 @@
 		}
 		recordStoreAnswer(sentAtMillis);
 		Optional<Row> row = termRow(found.rows());
-		process(new TermEvent.RowRead(row.flatMap(TermDriver::parse), row.map(Row::version).orElse(0L)));
+		Optional<TermRow> termRow = row.flatMap(TermDriver::parse);
+		if (row.isPresent() && termRow.isEmpty()) {
+			// Without the epoch of the last term, the next one could be below it.
+			process(new TermEvent.ReadFailed());
+			return;
+		}
+		process(new TermEvent.RowRead(termRow, row.map(Row::version).orElse(0L)));
 	}
 
 	private void commit(TermCommand.Commit commit) {
--- a/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
+++ b/fleet/src/main/java/org/almondmount/fleet/target/FleetTarget.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import org.almondmount.fleet.Addresses;
+import org.almondmount.fleet.EntryAddresses;
 import org.almondmount.fleet.EventLoop;
 import org.almondmount.fleet.FleetSettings;
 import org.almondmount.fleet.Tables;
@@ -81,6 +82,8 @@
 
 	private final HolderSearch holderSearch;
 
+	private final EntryAddresses entryAddresses;
+
 	private final LimitedLog announcementLog = new LimitedLog(LOG, LOGGED_ANNOUNCEMENTS_PER_SECOND, System::nanoTime);
 
 	private int searchCount;
@@ -106,6 +109,7 @@
 		telemetry.declare(REFUSED_ANNOUNCEMENTS_METRIC, AnnouncementRefusal.class);
 		this.self = new PeerInfo(PeerInfo.Role.TARGET, settings.name(), "", settings.zone(), Optional.empty(), 0,
 				loop.wallMillis());
+		this.entryAddresses = new EntryAddresses(LOG, telemetry);
 		this.holderSearch = new HolderSearch(settings.name(), this::dial);
 		this.manager = new WorkerManager(settings.name(), WorkerPolicy.DEFAULT);
 	}
@@ -221,9 +225,7 @@
 
 	private void onEntriesRead(RowStore.Read read) {
 		if (read instanceof RowStore.Read.Found found) {
-			List<String> addresses = new ArrayList<>();
-			found.rows().forEach((row) -> row.value().ifPresent(addresses::add));
-			this.holderSearch.replaceAddresses(addresses);
+			this.holderSearch.replaceAddresses(this.entryAddresses.read(found.rows()));
 			this.holderSearch.dialNextEntries();
 		}
 	}
@@ -239,6 +241,7 @@
 		}
 		catch (InvalidValueException ex) {
 			LOG.warn("entry-row-unreadable", "why", ex.getMessage());
+			this.holderSearch.dialFailed(address);
 		}
 	}
 
--- a/runtime/src/main/java/org/almondmount/rows/RowStore.java
+++ b/runtime/src/main/java/org/almondmount/rows/RowStore.java
@@ -58,6 +58,21 @@
 	 * @param value the text of the row, empty if the row was deleted
 	 */
 	record Row(Place place, long version, Optional<String> value) {
+
+		/** Not a valid value of any row. */
+		private static final String UNREADABLE = "\uFFFD";
+
+		/**
+		 * Returns a row that exists but whose value can't be decoded. It is not absent:
+		 * it has a value, which no reader accepts.
+		 * @param place the location of the row
+		 * @param version the version of the row
+		 * @return the row
+		 */
+		public static Row unreadable(Place place, long version) {
+			return new Row(place, version, Optional.of(UNREADABLE));
+		}
+
 	}
 
 	/**
