The query of an instance check is made only when it is sent

Each poll and start built the query of its connection's check, although the check is sent once for each connection.

--- a/runtime/src/main/java/org/almondmount/http/InstanceCheck.java
+++ b/runtime/src/main/java/org/almondmount/http/InstanceCheck.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 /**
  * Tells whether a connection leads to the instance of a server that a call is meant for.
@@ -9,9 +10,9 @@
  * with it, so a connection that has once led to an instance never leads to another one.
  *
  * @param instance the expected instance
- * @param query a call without effect, sent first on each connection
+ * @param query creates a call without effect, which is sent first on each connection
  * @param reader returns the instance that gave an answer to the query, or empty if the
  * answer does not tell
  */
-public record InstanceCheck(String instance, HttpCall query, Function<HttpAnswer, Optional<String>> reader) {
+public record InstanceCheck(String instance, Supplier<HttpCall> query, Function<HttpAnswer, Optional<String>> reader) {
 }
--- a/runtime/src/main/java/org/almondmount/http/impl/ClientConnection.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/ClientConnection.java
@@ -44,7 +44,7 @@
 		call.assignTo(this.context.channel());
 		Optional<PendingCheck> check = call.check().filter((wanted) -> !wanted.instance().equals(this.instance));
 		this.checking = check.isPresent();
-		write(check.map(PendingCheck::query).orElseGet(call::markSent));
+		write(check.map((wanted) -> wanted.query().get()).orElseGet(call::markSent));
 	}
 
 	private void write(FullHttpRequest request) {
--- a/runtime/src/main/java/org/almondmount/http/impl/NettyHttpClient.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/NettyHttpClient.java
@@ -77,8 +77,8 @@
 		}
 		ClientCall pending;
 		try {
-			pending = new ClientCall(hostAndPort, toNettyRequest(hostAndPort, call),
-					check.map((wanted) -> new PendingCheck(wanted, toNettyRequest(hostAndPort, wanted.query()))),
+			pending = new ClientCall(hostAndPort, toNettyRequest(hostAndPort, call), check
+				.map((wanted) -> new PendingCheck(wanted, () -> toNettyRequest(hostAndPort, wanted.query().get()))),
 					answer);
 		}
 		catch (IllegalArgumentException ex) {
--- a/runtime/src/main/java/org/almondmount/http/impl/PendingCheck.java
+++ b/runtime/src/main/java/org/almondmount/http/impl/PendingCheck.java
@@ -1,5 +1,7 @@
 package org.almondmount.http.impl;
 
+import java.util.function.Supplier;
+
 import io.netty.handler.codec.http.FullHttpRequest;
 import org.almondmount.http.HttpAnswer;
 import org.almondmount.http.InstanceCheck;
@@ -8,9 +10,9 @@
  * The check of the connection that is to carry a call.
  *
  * @param check the check
- * @param query its query as it is sent
+ * @param query creates its query as it is sent
  */
-record PendingCheck(InstanceCheck check, FullHttpRequest query) {
+record PendingCheck(InstanceCheck check, Supplier<FullHttpRequest> query) {
 
 	String instance() {
 		return this.check.instance();
--- a/runtime/src/test/java/org/almondmount/http/impl/NettyHttpClientTests.java
+++ b/runtime/src/test/java/org/almondmount/http/impl/NettyHttpClientTests.java
@@ -255,7 +255,7 @@
 	}
 
 	private CompletableFuture<HttpAnswer> sendToInstance(String instance, String path, Duration timeout) {
-		InstanceCheck check = new InstanceCheck(instance, new HttpCall("GET", "/check", Map.of(), new byte[0]),
+		InstanceCheck check = new InstanceCheck(instance, () -> new HttpCall("GET", "/check", Map.of(), new byte[0]),
 				(answer) -> Optional.of(new String(answer.body(), StandardCharsets.UTF_8)));
 		return this.client.sendToInstance(address(), check, new HttpCall("GET", path, Map.of(), new byte[0]), timeout);
 	}
