--- a/fleet/src/main/java/org/almondmount/fleet/Addresses.java
+++ b/fleet/src/main/java/org/almondmount/fleet/Addresses.java
@@ -18,7 +18,7 @@
 
 	/**
 	 * Parses an address.
-	 * @param text {@code ip:port}
+	 * @param text {@code ip:port}, with port 0 to listen on any port
 	 * @return the address
 	 * @throws InvalidValueException if the text is not an address
 	 */
@@ -27,9 +27,8 @@
 		String ip = text.substring(0, Math.max(0, colon));
 		boolean isLiteral = NetUtil.isValidIpV4Address(ip) || NetUtil.isValidIpV6Address(ip);
 		try {
-			int port = Integer.parseInt(text.substring(colon + 1));
-			if (isLiteral && port > 0) {
-				return new InetSocketAddress(ip, port);
+			if (isLiteral) {
+				return new InetSocketAddress(ip, Integer.parseInt(text.substring(colon + 1)));
 			}
 		}
 		catch (IllegalArgumentException ex) {
--- a/fleet/src/main/java/org/almondmount/fleet/EntryAddresses.java
+++ b/fleet/src/main/java/org/almondmount/fleet/EntryAddresses.java
@@ -45,14 +45,20 @@
 
 	private boolean isReadable(Row row, String address) {
 		try {
-			Addresses.parse(address);
-			return true;
+			if (Addresses.parse(address).getPort() > 0) {
+				return true;
+			}
+			recordUnreadable(row, "port 0 can't be dialled");
 		}
 		catch (InvalidValueException ex) {
-			this.telemetry.count(UNREADABLE_ENTRIES_METRIC);
-			this.log.warn("entry-row-unreadable", "key", row.place().key(), "why", ex.getMessage());
-			return false;
+			recordUnreadable(row, ex.getMessage());
 		}
+		return false;
+	}
+
+	private void recordUnreadable(Row row, String reason) {
+		this.telemetry.count(UNREADABLE_ENTRIES_METRIC);
+		this.log.warn("entry-row-unreadable", "key", row.place().key(), "why", reason);
 	}
 
 }
