--- a/fleet/src/main/java/org/almondmount/fleet/EntryAddresses.java
+++ b/fleet/src/main/java/org/almondmount/fleet/EntryAddresses.java
@@ -5,8 +5,8 @@
 
 import org.almondmount.model.InvalidValueException;
 import org.almondmount.rows.RowStore.Row;
+import org.almondmount.services.util.LimitedLog;
 import org.almondmount.telemetry.EventLog;
-import org.almondmount.telemetry.LimitedLog;
 import org.almondmount.telemetry.Telemetry;
 
 /**
--- a/runtime/src/main/java/org/almondmount/telemetry/LimitedLog.java
+++ b/runtime/src/main/java/org/almondmount/services/util/LimitedLog.java
@@ -1,10 +1,10 @@
-package org.almondmount.telemetry;
+package org.almondmount.services.util;
 
 import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 
-import org.almondmount.services.util.RateLimiter;
+import org.almondmount.telemetry.EventLog;
 
 /**
  * Logs events that strangers can cause at any rate. At most a given number of lines is
--- a/runtime/src/main/java/org/almondmount/telemetry/ConsoleLog.java
+++ b/runtime/src/main/java/org/almondmount/telemetry/ConsoleLog.java
@@ -44,7 +44,11 @@
 		Configurator.initialize(ConsoleLog.class.getClassLoader(), configuration());
 	}
 
-	static Configuration configuration() {
+	/**
+	 * Returns the configuration.
+	 * @return a new configuration that is not started
+	 */
+	public static Configuration configuration() {
 		return new ProgrammaticConfiguration();
 	}
 
--- a/runtime/src/test/java/org/almondmount/telemetry/LimitedLogTests.java
+++ b/runtime/src/test/java/org/almondmount/services/util/LimitedLogTests.java
@@ -1,4 +1,4 @@
-package org.almondmount.telemetry;
+package org.almondmount.services.util;
 
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
@@ -6,6 +6,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.almondmount.telemetry.ConsoleLog;
+import org.almondmount.telemetry.EventLog;
 import org.apache.logging.log4j.core.LoggerContext;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
